--- /dev/null
+++ b/core/clock/clock.go
@@ -0,0 +1,62 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+type (
+	// Clock tells the current instant.
+	Clock interface {
+		// Now returns the current instant in milliseconds since the Unix epoch.
+		Now() Millis
+	}
+
+	// System is the machine's clock. It is monotonic within a process, so a step
+	// of the wall clock does not move it.
+	System struct {
+		start     time.Time
+		startedAt Millis
+	}
+
+	// Manual is a clock that tests move by hand. It is safe for concurrent use.
+	Manual struct {
+		mu sync.Mutex
+		// now never decreases.
+		now Millis
+	}
+)
+
+// NewSystem returns a clock that starts at the machine's wall time.
+func NewSystem() *System {
+	t := time.Now()
+	return &System{start: t, startedAt: FromTime(t)}
+}
+
+// Now returns the current instant.
+func (s *System) Now() Millis {
+	return s.startedAt + FromDuration(time.Since(s.start))
+}
+
+// NewManual returns a clock that shows now until it is advanced.
+func NewManual(now Millis) *Manual {
+	return &Manual{now: now}
+}
+
+// Now returns the instant that the clock was last set to.
+func (m *Manual) Now() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves the clock forward by d and returns the new instant. A negative
+// d is ignored.
+func (m *Manual) Advance(d Millis) Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d > 0 {
+		m.now += d
+	}
+	return m.now
+}
--- /dev/null
+++ b/core/model/inventory.go
@@ -0,0 +1,110 @@
+// Package model provides the configuration that hickoryrail distributes: the
+// inventory, the rules, releases and the differences between them.
+package model
+
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+const (
+	// Check is for price, stock, credit, availability and standing checks, which
+	// must answer promptly.
+	Check Class = iota
+	// Action is for orders, reservations, invoices, bookings and redemptions.
+	Action
+	// Browse is for requests that may be slow.
+	Browse
+)
+
+type (
+	// Class orders requests that wait for the same target; the lower one goes
+	// first.
+	Class uint8
+
+	// FailureDomain is a set of servers that can fail together.
+	FailureDomain struct {
+		// Name is unique in the inventory and not empty.
+		Name ident.FailureDomain
+		// Region is not empty.
+		Region ident.Region
+	}
+
+	// Service is a set of interchangeable targets.
+	Service struct {
+		// Name is unique in the inventory and not empty.
+		Name ident.ServiceName
+		// Slots is the number of requests that each target runs at the same
+		// time; at least 1.
+		Slots ident.Slots
+		// Connections is the number of connections that each target accepts; at
+		// least Slots.
+		Connections ident.Connections
+	}
+
+	// Inventory lists what exists. Order carries no meaning.
+	Inventory struct {
+		FailureDomains []FailureDomain
+		Services       []Service
+	}
+
+	// Route sends the requests under a path prefix to a service.
+	Route struct {
+		// Name is unique in the rules and not empty.
+		Name ident.RouteName
+		// PathPrefix starts with a slash and is unique in the rules; the longest
+		// matching prefix wins.
+		PathPrefix string
+		// Service is in the inventory of the same configuration.
+		Service ident.ServiceName
+		// Class orders the requests at the admission gate.
+		Class Class
+		// Idempotent allows a request to be retried after it may have run.
+		Idempotent bool
+		// TimeoutMillis bounds a request from ingress to answer; above 0.
+		TimeoutMillis clock.Millis
+		// MaxAttempts is from 1 to 5.
+		MaxAttempts int
+		// HedgeAfterMillis is the delay before a second attempt of an idempotent
+		// check: 0 derives it from the observed delays, below 0 turns it off.
+		HedgeAfterMillis clock.Millis
+	}
+
+	// Rules are the operators' additions to the inventory.
+	Rules struct {
+		Routes []Route
+	}
+
+	// Configuration is one inventory with its rules. It is a value: nothing
+	// changes it once it is part of a release.
+	Configuration struct {
+		Inventory Inventory
+		Rules     Rules
+	}
+)
+
+// classNames holds the text form of each class.
+var classNames = [...]string{"Check", "Action", "Browse"}
+
+// String returns the class's name as it stands in rules and logs.
+func (c Class) String() string {
+	if int(c) < len(classNames) {
+		return classNames[c]
+	}
+	return "Class(" + string('0'+rune(c%10)) + ")"
+}
+
+// ParseClass returns the class with that name.
+func ParseClass(text string) (Class, bool) {
+	for i, name := range classNames {
+		if name == text {
+			return Class(i), true
+		}
+	}
+	return Browse, false
+}
+
+// ClassNames returns the names of all classes, for messages.
+func ClassNames() []string {
+	return classNames[:]
+}
--- /dev/null
+++ b/core/model/release.go
@@ -0,0 +1,123 @@
+package model
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hickoryrail/core/ident"
+)
+
+// Release is an accepted configuration.
+type Release struct {
+	// Version is at least 1.
+	Version ident.Version
+	// EditID names the edit that became this release.
+	EditID ident.EditID
+	// Digest is the digest of Configuration.
+	Digest ident.Digest
+	// Configuration is valid.
+	Configuration Configuration
+}
+
+var (
+	// ErrDigest reports a release whose configuration does not match its digest.
+	ErrDigest = errors.New("configuration does not match the release's digest")
+
+	// encoder writes one byte string for equal values.
+	encoder = mustEncoder()
+	// decoder refuses unknown fields, duplicate keys and trailing bytes.
+	decoder = mustDecoder()
+)
+
+// mustEncoder returns the canonical CBOR mode.
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustDecoder returns the strict CBOR mode.
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// NewRelease returns the release of a configuration, or its Faults.
+func NewRelease(v ident.Version, edit ident.EditID, c Configuration) (Release, error) {
+	if err := c.Validate(); err != nil {
+		return Release{}, err
+	}
+	c = c.sorted()
+	return Release{Version: v, EditID: edit, Digest: c.Digest(), Configuration: c}, nil
+}
+
+// Digest returns the digest of the canonical encoding; the order of services,
+// failure domains and routes does not count.
+func (c Configuration) Digest() ident.Digest {
+	body, err := encoder.Marshal(c.sorted())
+	if err != nil {
+		panic(err) // every field of Configuration has an encoding
+	}
+	return ident.Sum(body)
+}
+
+// sorted returns a copy of c with its lists in order of name.
+func (c Configuration) sorted() Configuration {
+	domains := slices.Clone(c.Inventory.FailureDomains)
+	slices.SortFunc(domains, func(a, b FailureDomain) int { return cmp.Compare(a.Name, b.Name) })
+	services := slices.Clone(c.Inventory.Services)
+	slices.SortFunc(services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	routes := slices.Clone(c.Rules.Routes)
+	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return Configuration{
+		Inventory: Inventory{FailureDomains: domains, Services: services},
+		Rules:     Rules{Routes: routes},
+	}
+}
+
+// EncodeRelease returns the release in canonical CBOR.
+func EncodeRelease(r Release) []byte {
+	body, err := encoder.Marshal(r)
+	if err != nil {
+		panic(err) // every field of Release has an encoding
+	}
+	return body
+}
+
+// DecodeRelease decodes, validates and checks the digest. It returns an error
+// for anything that is not a whole, valid release.
+func DecodeRelease(body []byte) (Release, error) {
+	var r Release
+	if err := decoder.Unmarshal(body, &r); err != nil {
+		return Release{}, fmt.Errorf("decode release: %w", err)
+	}
+	return r, r.Check()
+}
+
+// Check returns an error unless r is a whole, valid release.
+func (r Release) Check() error {
+	if r.Version == 0 {
+		return errors.New("release has version 0")
+	}
+	if err := r.Configuration.Validate(); err != nil {
+		return err
+	}
+	if r.Configuration.Digest() != r.Digest {
+		return ErrDigest
+	}
+	return nil
+}
