--- /dev/null
+++ b/io/logs/record.go
@@ -0,0 +1,150 @@
+package logs
+
+import (
+	"context"
+	"sync"
+
+	"github.com/apex/log"
+
+	"hickoryrail/core/result"
+)
+
+// maxBatch bounds the decisions that the writer copies out of the ring at once.
+const maxBatch = 256
+
+// DecisionLog is a Sink that writes each decision as one structured line. Record
+// copies the decision into a ring; Run writes from it. No line is lost: Record
+// waits while the ring is full, and writes directly once Run has ended.
+type DecisionLog struct {
+	filter Filter
+	logger *log.Logger
+
+	mu sync.Mutex
+	// notEmpty and notFull are conditions on count and stopped under mu.
+	notEmpty sync.Cond
+	notFull  sync.Cond
+	// ring holds count decisions from index head on, in order of Record.
+	ring  []Decision
+	head  int
+	count int
+	// waiting is true while Run waits for a decision.
+	waiting bool
+	// stopping is true once the context of Run has ended.
+	stopping bool
+	// stopped is true once Run has emptied the ring for the last time.
+	stopped bool
+}
+
+// NewDecisionLog returns a log with a ring of capacity decisions, at least one,
+// which writes the decisions that pass filter through the handler of logger. The
+// level of logger does not count; filter alone decides.
+func NewDecisionLog(logger *log.Logger, filter Filter, capacity int) *DecisionLog {
+	l := &DecisionLog{
+		filter: filter,
+		logger: &log.Logger{Handler: logger.Handler, Level: log.InfoLevel},
+		ring:   make([]Decision, max(capacity, 1)),
+	}
+	l.notEmpty.L, l.notFull.L = &l.mu, &l.mu
+	return l
+}
+
+// Record copies d into the ring. It waits while the ring is full.
+func (l *DecisionLog) Record(d Decision) {
+	if !l.filter.Passes(&d) {
+		return
+	}
+	l.mu.Lock()
+	for l.count == len(l.ring) && !l.stopped {
+		l.notFull.Wait()
+	}
+	if l.stopped {
+		l.mu.Unlock()
+		l.write(&d)
+		return
+	}
+	i := l.head + l.count
+	if i >= len(l.ring) {
+		i -= len(l.ring)
+	}
+	l.ring[i] = d
+	l.count++
+	wake := l.waiting
+	l.waiting = false
+	l.mu.Unlock()
+	if wake {
+		l.notEmpty.Signal()
+	}
+}
+
+// Run writes decisions until ctx ends and then those that are left in the ring.
+// It may run only once.
+func (l *DecisionLog) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, l.stop)
+	defer stop()
+	batch := make([]Decision, 0, maxBatch)
+	for {
+		batch = l.take(batch[:0])
+		if len(batch) == 0 {
+			return nil
+		}
+		for i := range batch {
+			l.write(&batch[i])
+		}
+	}
+}
+
+// stop makes take return without waiting.
+func (l *DecisionLog) stop() {
+	l.mu.Lock()
+	l.stopping = true
+	l.mu.Unlock()
+	l.notEmpty.Signal()
+}
+
+// take appends decisions from the ring to batch, up to its capacity. It waits for
+// one; an empty batch means that the log has stopped.
+func (l *DecisionLog) take(batch []Decision) []Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.count == 0 && !l.stopping {
+		l.waiting = true
+		l.notEmpty.Wait()
+	}
+	for l.count > 0 && len(batch) < cap(batch) {
+		batch = append(batch, l.ring[l.head])
+		l.head = (l.head + 1) % len(l.ring)
+		l.count--
+	}
+	l.stopped = len(batch) == 0
+	l.notFull.Broadcast()
+	return batch
+}
+
+// write writes one line.
+func (l *DecisionLog) write(d *Decision) {
+	l.logger.WithFields(d.fields()).Info("decision")
+}
+
+// fields returns the fields of d that are set.
+func (d *Decision) fields() log.Fields {
+	f := log.Fields{"At": float64(d.At), "Kind": d.Kind.String(), "Reason": d.Reason}
+	put(f, "Request", d.Request)
+	put(f, "Route", d.Route)
+	put(f, "Service", d.Service)
+	put(f, "Target", d.Target)
+	put(f, "Node", d.Node)
+	put(f, "Version", d.Version)
+	put(f, "Attempt", d.Attempt)
+	if d.Kind <= Retry && (d.Kind == Retry || d.Verdict != result.MayHaveRun) {
+		f["Verdict"] = d.Verdict.String()
+	}
+	return f
+}
+
+// put sets a field unless its value is the zero value.
+func put[T comparable](f log.Fields, name string, v T) {
+	var zero T
+	if v != zero {
+		f[name] = v
+	}
+}
--- /dev/null
+++ b/io/logs/record_test.go
@@ -0,0 +1,144 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/result"
+)
+
+// gated is a writer that blocks until it is opened.
+type gated struct {
+	open chan struct{}
+	buf  bytes.Buffer
+}
+
+// Write waits for the gate and keeps the line.
+func (g *gated) Write(p []byte) (int, error) {
+	<-g.open
+	return g.buf.Write(p)
+}
+
+// TestRecordLosesNoLine guards against a line that is lost or repeated when many
+// writers meet a full ring, and against a line that is left behind at the stop.
+func TestRecordLosesNoLine(t *testing.T) {
+	is := is.New(t)
+	const writers, lines, capacity = 8, 200, 4
+	w := &gated{open: make(chan struct{})}
+	l := NewDecisionLog(New(w, log.ErrorLevel), All, capacity)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	var wg sync.WaitGroup
+	for i := range writers {
+		wg.Go(func() {
+			for j := range lines {
+				l.Record(Decision{Kind: Admit, Request: ident.RequestID(fmt.Sprintf("%d-%d", i, j)), Attempt: j + 1, Reason: "slot free"})
+				if i == 0 && j == lines/2 {
+					cancel() // the stop meets writers in the middle of their work
+				}
+			}
+		})
+	}
+	close(w.open)
+	wg.Wait()
+	is.NoErr(<-ended)
+	seen := map[string]int{}
+	last := map[string]float64{}
+	for line := range strings.Lines(w.buf.String()) {
+		var entry struct {
+			Fields map[string]any `json:"fields"`
+		}
+		is.NoErr(json.Unmarshal([]byte(line), &entry))
+		id := entry.Fields["Request"].(string)
+		seen[id]++
+		writer, attempt := id[:1], entry.Fields["Attempt"].(float64)
+		is.True(attempt > last[writer]) // one writer's lines keep their order
+		last[writer] = attempt
+	}
+	is.Equal(len(seen), writers*lines)
+	for id, n := range seen {
+		if n != 1 {
+			t.Fatalf("line %s was written %d times", id, n)
+		}
+	}
+}
+
+// TestFilter guards against a problem that is filtered out and against a line of
+// a log that is off.
+func TestFilter(t *testing.T) {
+	cases := []struct {
+		d       Decision
+		problem bool
+	}{
+		{Decision{Kind: Route}, false},
+		{Decision{Kind: Route, Verdict: result.NotRun}, true},
+		{Decision{Kind: Admit, Verdict: result.Ran}, false},
+		{Decision{Kind: Retry}, true},
+		{Decision{Kind: Eject}, true},
+		{Decision{Kind: Lease}, true},
+	}
+	is := is.New(t)
+	for _, c := range cases {
+		is.True(All.Passes(&c.d))
+		is.Equal(Problems.Passes(&c.d), c.problem)
+		is.True(!Off.Passes(&c.d))
+	}
+	for _, f := range []Filter{All, Problems, Off} {
+		parsed, ok := ParseFilter(f.String())
+		is.True(ok && parsed == f && strings.Contains(FilterNames, f.String()))
+	}
+}
+
+// TestRecordAllocates guards against an allocation on the request path.
+func TestRecordAllocates(t *testing.T) {
+	l := NewDecisionLog(New(io.Discard, log.InfoLevel), All, 1<<16)
+	d := Decision{Kind: Route, Request: "r", Target: "t", Reason: "lower score"}
+	if n := testing.AllocsPerRun(1000, func() { l.Record(d) }); n != 0 {
+		t.Fatalf("Record allocates %v times", n)
+	}
+}
+
+// BenchmarkRecord measures Record while the ring has room.
+func BenchmarkRecord(b *testing.B) {
+	l := NewDecisionLog(New(io.Discard, log.InfoLevel), All, 1<<16)
+	d := Decision{Kind: Route, Request: "r", Target: "t", Reason: "lower score"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if l.count == len(l.ring) {
+			l.count = 0
+		}
+		l.Record(d)
+	}
+}
+
+// BenchmarkRecordOff measures Record of a log that is off.
+func BenchmarkRecordOff(b *testing.B) {
+	l := NewDecisionLog(New(io.Discard, log.InfoLevel), Off, 1)
+	d := Decision{Kind: Route, Request: "r", Target: "t", Reason: "lower score"}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Record(d)
+	}
+}
+
+// BenchmarkWrite measures one line of the background writer.
+func BenchmarkWrite(b *testing.B) {
+	l := NewDecisionLog(New(io.Discard, log.InfoLevel), All, 1)
+	d := Decision{Kind: Route, Request: "r", Target: "t", Reason: "lower score"}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.write(&d)
+	}
+}
