--- /dev/null
+++ b/io/plat/client_test.go
@@ -0,0 +1,176 @@
+package plat_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/result"
+	"hickoryrail/io/plat"
+	"hickoryrail/io/stub"
+)
+
+// serve starts a stand-in and returns it with a client.
+func serve(t *testing.T, timeout clock.Millis) (*stub.Server, *plat.Client) {
+	t.Helper()
+	s := &stub.Server{Listen: "127.0.0.1:0"}
+	if err := s.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, &plat.Client{URL: "http://" + s.Address(), TimeoutMillis: timeout}
+}
+
+// TestClientRows guards against a write that ignores its condition and against
+// a revision that is used twice.
+func TestClientRows(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, c := serve(t, 0)
+
+	row, err := c.ReadRow(ctx, "Key/a b/?&=")
+	is.NoErr(err)
+	is.Equal(row, plat.Row{Key: "Key/a b/?&="}) // absent
+
+	first, err := c.WriteRow(ctx, "Key/a b/?&=", []byte(`{"A":1}`), 0)
+	is.NoErr(err)
+	_, err = c.WriteRow(ctx, "Key/a b/?&=", []byte(`{"A":2}`), 0)
+	is.True(errors.Is(err, plat.ErrConflict))
+	is.Equal(result.Of(err), result.NotRun)
+
+	row, err = c.ReadRow(ctx, "Key/a b/?&=")
+	is.NoErr(err)
+	is.Equal(string(row.Value), `{"A":1}`)
+	is.Equal(row.Revision, first.Revision)
+
+	deleted, err := c.WriteRow(ctx, "Key/a b/?&=", nil, first.Revision)
+	is.NoErr(err)
+	is.Equal(deleted.Revision, plat.Row{}.Revision)
+	again, err := c.WriteRow(ctx, "Key/a b/?&=", []byte(`{}`), 0)
+	is.NoErr(err)
+	is.True(again.Revision > first.Revision)
+
+	_, err = c.WriteRow(ctx, "Key/c", []byte(`{}`), 0)
+	is.NoErr(err)
+	rows, err := c.ListRows(ctx, "Key/")
+	is.NoErr(err)
+	is.Equal(len(rows), 2)
+	is.Equal(rows[0].Key, "Key/a b/?&=")
+	is.Equal(string(rows[0].Value), "{}")
+	rows, err = c.ListRows(ctx, "None/")
+	is.NoErr(err)
+	is.Equal(len(rows), 0)
+	is.Equal(s.Counts().RowConflicts, uint64(1))
+}
+
+// TestClientObjects guards against a missing object that looks empty.
+func TestClientObjects(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, c := serve(t, 0)
+	_, err := c.GetObject(ctx, "Release/1")
+	is.True(errors.Is(err, plat.ErrNotFound))
+	body := []byte(strings.Repeat("x", 1<<20))
+	is.NoErr(c.PutObject(ctx, "Release/1", body))
+	got, err := c.GetObject(ctx, "Release/1")
+	is.NoErr(err)
+	is.Equal(got, body)
+}
+
+// TestClientVerdicts guards against a lost answer that is reported as NotRun,
+// and against a refused connection that is reported as MayHaveRun.
+func TestClientVerdicts(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, c := serve(t, 0)
+	_, err := c.ReadRow(ctx, "Warm") // the next calls reuse this connection
+	is.NoErr(err)
+
+	s.LoseAnswers(1)
+	_, err = c.WriteRow(ctx, "A", []byte("1"), 0)
+	is.Equal(result.Of(err), result.MayHaveRun)
+	row, err := c.ReadRow(ctx, "A")
+	is.NoErr(err)
+	is.Equal(string(row.Value), "1") // it took effect
+
+	s.LoseRequests(1)
+	_, err = c.WriteRow(ctx, "B", []byte("1"), 0)
+	is.Equal(result.Of(err), result.MayHaveRun)
+	row, err = c.ReadRow(ctx, "B")
+	is.NoErr(err)
+	is.True(row.Revision == 0) // it did not
+
+	s.LoseAnswers(1)
+	is.Equal(result.Of(c.PutObject(ctx, "O", []byte("1"))), result.MayHaveRun)
+
+	s.SetDown(true)
+	_, err = c.WriteRow(ctx, "A", []byte("2"), row.Revision)
+	is.Equal(result.Of(err), result.NotRun)
+	_, err = c.ReadRow(ctx, "A")
+	is.Equal(result.Of(err), result.NotRun)
+	_, err = c.ListRows(ctx, "A")
+	is.Equal(result.Of(err), result.NotRun)
+
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := free.Addr().String()
+	is.NoErr(free.Close())
+	refused := &plat.Client{URL: "http://" + address}
+	_, err = refused.WriteRow(ctx, "A", []byte("2"), 0)
+	is.Equal(result.Of(err), result.NotRun)
+}
+
+// TestClientTimeout guards against a slow write that is reported as NotRun
+// although it still takes effect.
+func TestClientTimeout(t *testing.T) {
+	is := is.New(t)
+	s, c := serve(t, 50)
+	s.SetSlow(400)
+	_, err := c.WriteRow(context.Background(), "A", []byte("1"), 0)
+	is.Equal(result.Of(err), result.MayHaveRun)
+	_, err = c.ReadRow(context.Background(), "A")
+	is.Equal(result.Of(err), result.NotRun)
+}
+
+// TestClientBrokenAnswers guards against an answer outside the protocol that
+// passes for a known outcome.
+func TestClientBrokenAnswers(t *testing.T) {
+	ctx := context.Background()
+	answers := map[string]http.HandlerFunc{
+		"no revision":    func(http.ResponseWriter, *http.Request) {},
+		"bad revision":   func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(plat.RevisionHeader, "-1") },
+		"zero revision":  func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(plat.RevisionHeader, "0") },
+		"internal error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"redirect": func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/row", http.StatusTemporaryRedirect)
+		},
+		"cut short": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") },
+	}
+	for name, handler := range answers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			c := &plat.Client{URL: server.URL}
+			_, err := c.WriteRow(ctx, "A", []byte("1"), 0)
+			is.Equal(result.Of(err), result.MayHaveRun)
+			_, err = c.ReadRow(ctx, "A")
+			is.Equal(result.Of(err), result.NotRun)
+		})
+	}
+}
