Add the registry of metrics

Cause: the modules of a node count into one registry, which the admin server serves. Change: io/stats gets NewRegistry with the Go and process collectors, Handler and the namespace of all metric names.

--- /dev/null
+++ b/io/stats/registry.go
@@ -0,0 +1,30 @@
+// Package stats provides the registry of a node's metrics.
+package stats
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Namespace starts the name of every metric of hickoryrail.
+const Namespace = "hickoryrail"
+
+// NewRegistry returns a registry with the collectors of the Go runtime and of the
+// process.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
+
+// Handler returns the handler that serves the metrics of g. A collector that
+// fails leaves out its own metrics only.
+func Handler(g prometheus.Gatherer) http.Handler {
+	return promhttp.HandlerFor(g, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError})
+}
