Add the admin, target and operator servers

Cause: a node needs HTTP interfaces for metrics and status, for the target beside it and for operators. Bodies are strict JSON: unknown fields, repeated fields (also in another case) and trailing text are refused. A target other than the node's own is refused with 403. Operators need TLS and a bearer token, whose digest is compared in constant time; a missing and a wrong one get the same 401. Targets may say that they are still Starting in announcements and renewals. Documents carry classes by name. Seen to fail on broken versions: each of another target, another service and an ingress-only node accepted; credential not compared, token without its scheme, no check at all; unknown and repeated fields accepted; invalid configuration accepted; large body accepted; Drain without a wait; listener left to fiber when the context ends before the start. Conclusion: the node can be wired against these servers.

--- /dev/null
+++ b/io/admin/admin_test.go
@@ -0,0 +1,403 @@
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/io/keys"
+	"hickoryrail/io/stats"
+)
+
+type (
+	// runner is a server of this package.
+	runner interface {
+		Open() error
+		Address() string
+		Run(ctx context.Context) error
+	}
+
+	// fake records what the servers pass on.
+	fake struct {
+		mu     sync.Mutex
+		calls  []string
+		edits  []Edit
+		status Status
+		err    error
+		out    Outcome
+		// entered and release, if set, hold up Submit.
+		entered, release chan struct{}
+	}
+)
+
+const token = "correct-token"
+
+func (f *fake) note(format string, args ...any) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, fmt.Sprintf(format, args...))
+	return f.err
+}
+
+func (f *fake) Announce(a Announcement) error { return f.note("announce %+v", a) }
+func (f *fake) Renew(r Renewal) error         { return f.note("renew %+v", r) }
+func (f *fake) Drain(t ident.TargetID) error  { return f.note("drain %s", t) }
+func (f *fake) Leave(t ident.TargetID) error  { return f.note("leave %s", t) }
+func (f *fake) Status() Status                { return f.status }
+func (f *fake) Fleet() []NodeStatus           { return []NodeStatus{{Node: "a1", Held: 7}} }
+
+func (f *fake) Submit(_ context.Context, e Edit) (Outcome, error) {
+	if f.entered != nil {
+		close(f.entered)
+		<-f.release
+	}
+	f.edits = append(f.edits, e)
+	return f.out, f.note("submit %s", e.EditID)
+}
+
+func (f *fake) History(_ context.Context, limit int) ([]HistoryEntry, error) {
+	return []HistoryEntry{{Version: ident.Version(limit)}}, f.err
+}
+
+func (f *fake) Configuration(context.Context) (model.Release, error) {
+	return model.NewRelease(3, "e3", configuration())
+}
+
+// configuration returns a small valid configuration.
+func configuration() model.Configuration {
+	return model.Configuration{
+		Inventory: model.Inventory{
+			FailureDomains: []model.FailureDomain{{Name: "attica-a", Region: "attica"}},
+			Services:       []model.Service{{Name: "orders", Slots: 6, Connections: 130}},
+		},
+		Rules: model.Rules{Routes: []model.Route{{
+			Name: "place", PathPrefix: "/orders", Service: "orders", Class: model.Action, TimeoutMillis: 2000, MaxAttempts: 2,
+		}}},
+	}
+}
+
+// start runs a server until the test ends.
+func start(t *testing.T, r runner) string {
+	t.Helper()
+	if err := r.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return r.Address()
+}
+
+// do sends one request on a connection of its own.
+func do(t *testing.T, method, url, bearer, body string) (int, string) {
+	t.Helper()
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bearer != "" {
+		r.Header.Set("Authorization", bearer)
+	}
+	w, err := transport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Body.Close()
+	text, err := io.ReadAll(w.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.StatusCode, string(text)
+}
+
+// operators starts the operators' server on f.
+func operators(t *testing.T, f *fake) string {
+	t.Helper()
+	directory := t.TempDir()
+	if _, err := keys.CreateFleet(directory, []ident.NodeID{"a1"}); err != nil {
+		t.Fatal(err)
+	}
+	identity, err := keys.LoadIdentity(directory, "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return "https://" + start(t, &Operators{
+		Listen: "127.0.0.1:0", Certificate: identity.Certificate, Credential: ident.Sum([]byte(token)), Control: f, Source: f,
+	})
+}
+
+// editText returns the body of an edit with extra fields.
+func editText(extra string) string {
+	document, _ := json.Marshal(NewDocument(configuration()))
+	return fmt.Sprintf(`{"EditID":"e1","Base":2,"Operator":"ann","Configuration":%s%s}`, document, extra)
+}
+
+// TestAdmin guards against a node that is reported ready before it is.
+func TestAdmin(t *testing.T) {
+	is := is.New(t)
+	f := &fake{status: Status{Node: "a1", Reasons: []string{"no version floor"}}}
+	base := "http://" + start(t, &Admin{Listen: "127.0.0.1:0", Metrics: stats.NewRegistry(), Source: f})
+	code, text := do(t, "GET", base+"/readyz", "", "")
+	is.Equal(code, 503)
+	is.True(strings.Contains(text, "no version floor"))
+	f.status.Reasons = nil
+	code, _ = do(t, "GET", base+"/readyz", "", "")
+	is.Equal(code, 200)
+	_, text = do(t, "GET", base+"/status", "", "")
+	is.True(strings.Contains(text, `"Node":"a1"`))
+	_, text = do(t, "GET", base+"/metrics", "", "")
+	is.True(strings.Contains(text, "go_goroutines"))
+	code, _ = do(t, "GET", base+"/healthz", "", "")
+	is.Equal(code, 200)
+}
+
+// TestTargets guards against a statement that is passed on although it is wrong,
+// above all one for another node's target.
+func TestTargets(t *testing.T) {
+	f := &fake{}
+	base := "http://" + start(t, &Targets{Listen: "127.0.0.1:0", Target: "t1", Service: "orders", Control: f})
+	const good = `{"Target":"t1","Service":"orders","Address":"127.0.0.1:9","InFlight":2}`
+	cases := []struct {
+		path, body string
+		code       int
+		call       string
+	}{
+		{"/announce", good, 204, "announce {Target:t1 Service:orders Address:127.0.0.1:9 InFlight:2 Starting:false}"},
+		{"/renew", `{"Target":"t1","Starting":true}`, 204, "renew {Target:t1 InFlight:0 Starting:true}"},
+		{"/drain", `{"Target":"t1"}`, 204, "drain t1"},
+		{"/leave", `{"Target":"t1"}`, 204, "leave t1"},
+		{"/announce", strings.Replace(good, "t1", "t2", 1), 403, ""},
+		{"/announce", strings.Replace(good, "orders", "billing", 1), 403, ""},
+		{"/announce", strings.Replace(good, "127.0.0.1:9", "0.0.0.0:9", 1), 400, ""},
+		{"/announce", strings.Replace(good, "127.0.0.1:9", "example.net:9", 1), 400, ""},
+		{"/announce", strings.Replace(good, "2", "-2", 1), 400, ""},
+		{"/announce", strings.Replace(good, "InFlight", "Inflight2", 1), 400, ""},
+		{"/announce", strings.Replace(good, "}", `,"inflight":3}`, 1), 400, ""},
+		{"/announce", good + "{}", 400, ""},
+		{"/announce", "[]", 400, ""},
+		{"/announce", "", 400, ""},
+		{"/announce", good + strings.Repeat(" ", targetBodyBytes), 413, ""},
+		{"/renew", `{"Target":"t2"}`, 403, ""},
+		{"/renew", `{"Target":"t1","InFlight":1000000}`, 400, ""},
+		{"/drain", `{"Target":"t2"}`, 403, ""},
+		{"/leave", `{"Target":""}`, 403, ""},
+		{"/leave", `{"Target":"t1","Now":true}`, 400, ""},
+		{"/depart", `{"Target":"t1"}`, 404, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.path+c.body[:min(len(c.body), 60)], func(t *testing.T) {
+			is := is.New(t)
+			f.calls = nil
+			code, text := do(t, "POST", base+c.path, "", c.body)
+			is.Equal(code, c.code)
+			is.Equal(strings.Join(f.calls, ";"), c.call)
+			is.True(code < 300 || strings.Contains(text, `"Error":"`))
+		})
+	}
+	f.err = ErrUnknownTarget
+	code, _ := do(t, "POST", base+"/renew", "", `{"Target":"t1"}`)
+	is.New(t).Equal(code, 404)
+}
+
+// TestTargetsIngressOnly guards against a target at a node that has none; an
+// empty name must not match the empty setting.
+func TestTargetsIngressOnly(t *testing.T) {
+	f := &fake{}
+	base := "http://" + start(t, &Targets{Listen: "127.0.0.1:0", Control: f})
+	code, _ := do(t, "POST", base+"/announce", "", `{"Target":"","Service":"","Address":"127.0.0.1:9"}`)
+	is.New(t).Equal(code, 403)
+	is.New(t).Equal(len(f.calls), 0)
+}
+
+// TestCredential guards against a wrong credential that passes, and against an
+// answer that tells a wrong credential from a missing one or a known path from
+// an unknown one.
+func TestCredential(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	base := operators(t, f)
+	want := ""
+	for _, bearer := range []string{
+		"", "Bearer", "Bearer ", "Bearer wrong", "bearer " + token, token, "Bearer " + token + "x",
+		"Bearer " + token[1:], "Basic " + token, "Bearer " + ident.Sum([]byte(token)).String(),
+	} {
+		for _, path := range []string{"/edits", "/status", "/nothing"} {
+			code, text := do(t, "POST", base+path, bearer, editText(""))
+			is.Equal(code, 401)
+			is.True(want == "" || text == want)
+			want = text
+		}
+	}
+	is.Equal(len(f.calls), 0)
+	code, _ := do(t, "GET", base+"/status", "Bearer "+token, "")
+	is.Equal(code, 200)
+}
+
+// TestEdits guards against a malformed edit that is passed on and against an
+// outcome or verdict that is reported as another one.
+func TestEdits(t *testing.T) {
+	refusedByStore := result.NewError(result.NotRun, "platform is down", nil)
+	cases := []struct {
+		name, body string
+		out        Outcome
+		err        error
+		code       int
+		text       string
+		passed     bool
+	}{
+		{"accepted", editText(""), Outcome{State: Accepted, Version: 3}, nil, 200, `"Version":3`, true},
+		{"scheduled", editText(`,"ReleaseMillis":5`), Outcome{State: Scheduled}, nil, 202, "Scheduled", true},
+		{"clash", editText(""), Outcome{State: Refused, Clashes: []string{"Service/orders/Slots"}}, nil, 409, "Service/orders/Slots", true},
+		{"dry run", editText(`,"DryRun":true`), Outcome{State: Valid}, nil, 200, "Valid", true},
+		{"store down", editText(""), Outcome{}, refusedByStore, 503, "NotRun", true},
+		{"answer lost", editText(""), Outcome{}, errors.New("connection closed"), 502, "MayHaveRun", true},
+		{"unknown field", editText(`,"Force":true`), Outcome{}, nil, 400, "Force", false},
+		{"repeated field", editText(`,"DryRun":true,"DryRun":false`), Outcome{}, nil, 400, "repeated", false},
+		{"no operator", strings.Replace(editText(""), "ann", "", 1), Outcome{}, nil, 400, "Operator", false},
+		{"unknown class", strings.Replace(editText(""), `"Action"`, `"Fast"`, 1), Outcome{}, nil, 422, "Check, Action, Browse", false},
+		{"invalid", strings.Replace(editText(""), `"Slots":6`, `"Slots":0`, 1), Outcome{}, nil, 422, "Service/orders/Slots", false},
+		{"unknown service", strings.Replace(editText(""), `"Service":"orders"`, `"Service":"tea"`, 1), Outcome{}, nil, 422, "a service of the inventory", false},
+		{"too large", editText(strings.Repeat(" ", operatorBodyBytes)), Outcome{}, nil, 413, "", false},
+	}
+	f := &fake{}
+	base := operators(t, f)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f.out, f.err, f.edits = c.out, c.err, nil
+			code, text := do(t, "POST", base+"/edits", "Bearer "+token, c.body)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(text, c.text))
+			is.Equal(len(f.edits) == 1, c.passed)
+			if c.passed {
+				is.Equal(f.edits[0].Configuration.Digest(), configuration().Digest())
+				is.Equal(f.edits[0].Base, ident.Version(2))
+			}
+		})
+	}
+}
+
+// TestFarTooLarge guards against a body far above the limit that is passed on. The
+// connection is closed without reading it, so the client may not see the answer.
+func TestFarTooLarge(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	base := operators(t, f)
+	r, err := http.NewRequest("POST", base+"/edits", strings.NewReader(editText(strings.Repeat(" ", 4*operatorBodyBytes))))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+	if w, err := transport.RoundTrip(r); err == nil {
+		is.Equal(w.StatusCode, 413)
+		is.NoErr(w.Body.Close())
+	}
+	is.Equal(len(f.edits), 0)
+}
+
+// TestOperatorReads guards against answers that lose fields or exceed the limit.
+func TestOperatorReads(t *testing.T) {
+	is := is.New(t)
+	base := operators(t, &fake{})
+	for path, want := range map[string]string{
+		"/history":         `[{"Version":50,`,
+		"/history?Limit=2": `[{"Version":2,`,
+		"/history?Limit=0": `1 to 1000`,
+		"/configuration":   `"Class":"Action"`,
+		"/fleet":           `"Held":7`,
+	} {
+		_, text := do(t, "GET", base+path, "Bearer "+token, "")
+		is.True(strings.Contains(text, want))
+	}
+}
+
+// TestDrain guards against a stop that interrupts a request in flight or that does
+// not wait for it.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	f := &fake{entered: make(chan struct{}), release: make(chan struct{}), out: Outcome{State: Accepted}}
+	directory := t.TempDir()
+	_, err := keys.CreateFleet(directory, []ident.NodeID{"a1"})
+	is.NoErr(err)
+	identity, err := keys.LoadIdentity(directory, "a1")
+	is.NoErr(err)
+	o := &Operators{
+		Listen: "127.0.0.1:0", Certificate: identity.Certificate, Credential: ident.Sum([]byte(token)), Control: f, Source: f,
+	}
+	is.NoErr(o.Open())
+	ran, answered := make(chan error, 1), make(chan int, 1)
+	go func() { ran <- o.Run(context.Background()) }()
+	go func() {
+		code, _ := do(t, "POST", "https://"+o.Address()+"/edits", "Bearer "+token, editText(""))
+		answered <- code
+	}()
+	<-f.entered
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(o.Drain(ended), context.Canceled)) // it sees the request in flight
+	is.NoErr(<-ran)
+	close(f.release)
+	is.Equal(<-answered, 200)
+}
+
+// TestRunEndsAtOnce guards against a server that runs on if its context ends
+// before the listener is served.
+func TestRunEndsAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 {
+		s := &Targets{Listen: "127.0.0.1:0", Control: &fake{}}
+		is.New(t).NoErr(s.Open())
+		is.New(t).NoErr(s.Run(ctx))
+	}
+}
+
+// FuzzDecodeEdit guards against a panic and against an accepted edit whose
+// configuration is invalid.
+func FuzzDecodeEdit(f *testing.F) {
+	f.Add([]byte(editText("")))
+	f.Add([]byte(editText(`,"DryRun":true,"Dryrun":{"a":[1,{}]}`)))
+	f.Add([]byte(`{"Configuration":{"Rules":{"Routes":[{"TimeoutMillis":1e400}]}}} `))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		e, err := decodeEdit(body)
+		if err == nil && e.Configuration.Validate() != nil {
+			t.Fatal("an invalid configuration was accepted")
+		}
+	})
+}
+
+// FuzzDecodeAnnouncement guards against a panic and against a body that is
+// accepted although it differs from what its decoded value says.
+func FuzzDecodeAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"Target":"t1","Service":"orders","Address":"127.0.0.1:9","InFlight":2}`))
+	f.Add([]byte(`{"Target":"t1","target":"t2"}`))
+	f.Add([]byte(`{"Starting":null,"InFlight":-0}[`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := decode[Announcement](body)
+		if err != nil {
+			return
+		}
+		again, _ := json.Marshal(a)
+		if b, err := decode[Announcement](again); err != nil || a != b {
+			t.Fatalf("%q is decoded as %+v, then as %+v: %v", body, a, b, err)
+		}
+	})
+}
