Add the client of the operators' API

Cause: the subcommands, and later the demo, call the operators' server of a node and must not lose the verdict on an edit. Change: admin.Client has Submit, History, Configuration, Status and Fleet. A refused connection or certificate is NotRun; any other missing answer of a submission is MayHaveRun. Seen to fail on broken versions: another authority accepted, a lost answer reported as NotRun, the server's verdict ignored. Conclusion: an operator can tell an edit that was not accepted from one whose outcome is unknown.

--- /dev/null
+++ b/io/admin/client_test.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"context"
+	"crypto/x509"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/io/keys"
+)
+
+// client starts the operators' server on f and returns a client for it.
+func client(t *testing.T, f *fake) *Client {
+	t.Helper()
+	directory := t.TempDir()
+	if _, err := keys.CreateFleet(directory, []ident.NodeID{"a1"}); err != nil {
+		t.Fatal(err)
+	}
+	identity, err := keys.LoadIdentity(directory, "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &Operators{
+		Listen: "127.0.0.1:0", Certificate: identity.Certificate, Credential: ident.Sum([]byte(token)), Control: f, Source: f,
+	}
+	c := &Client{URL: "https://" + start(t, o), Token: token, Authority: identity.Authority}
+	t.Cleanup(func() { c.once.Do(c.connect); c.client.CloseIdleConnections() })
+	return c
+}
+
+// TestClientOutcomes guards against an outcome, a fault or a verdict that changes
+// on the way to the operator.
+func TestClientOutcomes(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	c := client(t, f)
+	ctx := context.Background()
+	e := Edit{EditID: NewEditID(), Base: 2, Operator: "ann", ReleaseMillis: 5, Configuration: configuration()}
+	f.out = Outcome{EditID: e.EditID, State: Refused, Clashes: []string{"Service/orders/Slots"}}
+	out, err := c.Submit(ctx, e)
+	is.NoErr(err)
+	is.Equal(out, f.out)
+	is.Equal(f.edits[0], e)
+	for _, verdict := range []result.Verdict{result.NotRun, result.MayHaveRun} {
+		f.err = result.NewError(verdict, "platform is down", nil)
+		_, err = c.Submit(ctx, e)
+		is.Equal(result.Of(err), verdict)
+	}
+	e.Configuration.Inventory.Services = nil
+	_, err = c.Submit(ctx, e)
+	var faults model.Faults
+	is.True(errors.As(err, &faults))
+	is.Equal(faults[0].Field, "Route/place/Service")
+	r, err := c.Configuration(ctx)
+	is.NoErr(err)
+	is.NoErr(r.Check())
+	_, err = c.Status(ctx)
+	is.NoErr(err)
+	nodes, err := c.Fleet(ctx)
+	is.NoErr(err)
+	is.Equal(nodes[0].Held, ident.Version(7))
+}
+
+// TestClientTrust guards against a client that sends the credential to a server
+// of another authority, and against a wrong credential that passes.
+func TestClientTrust(t *testing.T) {
+	is := is.New(t)
+	f := &fake{out: Outcome{State: Accepted}}
+	c := client(t, f)
+	e := Edit{EditID: "e1", Operator: "ann", Configuration: configuration()}
+	wrong := &Client{URL: c.URL, Token: "wrong", Authority: c.Authority}
+	_, err := wrong.Submit(context.Background(), e)
+	is.True(errors.Is(err, ErrUnauthorized))
+	stranger := &Client{URL: c.URL, Token: token, Authority: x509.NewCertPool()}
+	_, err = stranger.Submit(context.Background(), e)
+	is.Equal(result.Of(err), result.NotRun)
+	is.Equal(len(f.calls), 0)
+}
+
+// TestClientVerdicts guards against a lost answer that is reported as NotRun.
+func TestClientVerdicts(t *testing.T) {
+	is := is.New(t)
+	f := &fake{entered: make(chan struct{}), release: make(chan struct{})}
+	c := client(t, f)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-f.entered; cancel(); close(f.release) }()
+	_, err := c.Submit(ctx, Edit{EditID: "e1", Operator: "ann", Configuration: configuration()})
+	is.Equal(result.Of(err), result.MayHaveRun) // the control has the edit already
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	closed := &Client{URL: "https://" + l.Addr().String(), Authority: c.Authority}
+	_, err = closed.Submit(context.Background(), Edit{EditID: "e1", Operator: "ann", Configuration: configuration()})
+	is.Equal(result.Of(err), result.NotRun)
+}
