Add the subcommands

Cause: operators and servers need one program with help, plain errors and exit statuses that scripts can rely on. Change: io/cmds gets node, check, plan, apply, history, status, watch, keys, platform, demo, settings and bench. Exit status 1 is a fault, 2 a wrong command line. apply has no default for -base: a default of the newest version would silently undo another operator's edit, because the files hold the whole configuration; plan prints the base. apply submits an edit again under the same id when its answer is lost, and reports an unknown outcome as such. watch waits for live nodes and names laggards and dead nodes. Backends that are not there yet are function fields that main sets; a command without one is not offered. docs/settings.md is written by the settings command. Seen to fail on broken versions: a refusal after a lost answer taken as the outcome, a new id per submission, a watch that ends early or waits for dead nodes, a plan that is not a dry run, a settings page that is not current. Conclusion: the commands work against the operators' server; node, demo, bench and the loaders of files wait for their packages.

--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -187,7 +187,7 @@
 		f.Error = http.StatusText(status)
 	}
 	if status == http.StatusUnauthorized {
-		return result.NewError(result.NotRun, ErrUnauthorized.Error(), ErrUnauthorized)
+		return result.NewError(result.NotRun, "unauthorized", ErrUnauthorized)
 	}
 	if len(f.Faults) > 0 {
 		var faults model.Faults
--- /dev/null
+++ b/io/cmds/cmds_test.go
@@ -0,0 +1,332 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/io/admin"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/keys"
+)
+
+// fleet is a node's control and status for the tests.
+type fleet struct {
+	mu    sync.Mutex
+	edits []admin.Edit
+	// errs are returned by the first submissions, one each.
+	errs  []error
+	out   admin.Outcome
+	nodes []admin.NodeStatus
+	// looks counts the calls of Fleet.
+	looks int
+}
+
+func (f *fleet) Submit(_ context.Context, e admin.Edit) (admin.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.edits = append(f.edits, e)
+	if n := len(f.edits); n <= len(f.errs) && f.errs[n-1] != nil {
+		return admin.Outcome{}, f.errs[n-1]
+	}
+	out := f.out
+	out.EditID = e.EditID
+	return out, nil
+}
+
+func (f *fleet) History(context.Context, int) ([]admin.HistoryEntry, error) {
+	return []admin.HistoryEntry{{Version: 3, Operator: "ann", AcceptedMillis: 1.7e12}}, nil
+}
+
+func (f *fleet) Configuration(context.Context) (model.Release, error) {
+	return model.NewRelease(3, "e3", configuration())
+}
+
+func (f *fleet) Status() admin.Status {
+	return admin.Status{Node: "a1", Version: 3, Reasons: []string{"no version floor"}, Members: map[string]int{"Alive": 2}}
+}
+
+// Fleet lets one more node hold version 3 at each look.
+func (f *fleet) Fleet() []admin.NodeStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range min(f.looks, len(f.nodes)) {
+		f.nodes[i].Held = max(f.nodes[i].Held, 3)
+	}
+	f.looks++
+	return append([]admin.NodeStatus(nil), f.nodes...)
+}
+
+// configuration returns a small valid configuration.
+func configuration() model.Configuration {
+	return model.Configuration{
+		Inventory: model.Inventory{Services: []model.Service{{Name: "orders", Slots: 6, Connections: 130}}},
+		Rules: model.Rules{Routes: []model.Route{{
+			Name: "place", PathPrefix: "/orders", Service: "orders", Class: model.Action, TimeoutMillis: 2000, MaxAttempts: 2,
+		}}},
+	}
+}
+
+// backends returns backends whose loaders know one pair of files.
+func backends() Backends {
+	return Backends{
+		Node: func(_ context.Context, s conf.Settings, stdout io.Writer) error {
+			_, err := io.WriteString(stdout, "node "+string(s.Node))
+			return err
+		},
+		Demo: Backend{
+			Flags: func(f *flag.FlagSet) { f.Int("nodes", 3, "nodes") },
+			Run:   func(context.Context, io.Writer, []string) error { return errors.New("demo failed") },
+		},
+		Loaders: Loaders{
+			Inventory: func(string) (model.Inventory, error) { return configuration().Inventory, nil },
+			Rules: func(path string) (model.Rules, error) {
+				if path == "bad" {
+					return model.Rules{}, errors.New("bad: line 3: wrong")
+				}
+				if path == "misfit" {
+					return model.Rules{Routes: []model.Route{{Name: "x", PathPrefix: "/x", Service: "tea", TimeoutMillis: 1, MaxAttempts: 1}}}, nil
+				}
+				return configuration().Rules, nil
+			},
+		},
+	}
+}
+
+// serve starts an operators' server on f and returns the flags to reach it.
+func serve(t *testing.T, f *fleet) []string {
+	t.Helper()
+	directory := t.TempDir()
+	if _, err := keys.CreateFleet(directory, []ident.NodeID{"a1"}); err != nil {
+		t.Fatal(err)
+	}
+	identity, err := keys.LoadIdentity(directory, "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	digest, err := keys.LoadOperatorDigest(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &admin.Operators{Listen: "127.0.0.1:0", Certificate: identity.Certificate, Credential: digest, Control: f, Source: f}
+	if err := o.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- o.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return []string{
+		"-node", "https://" + o.Address(), "-credential", filepath.Join(directory, keys.OperatorToken),
+		"-authority", filepath.Join(directory, keys.AuthorityCertificate),
+	}
+}
+
+// run runs a command line and returns its status and outputs.
+func run(args ...string) (int, string, string) {
+	var stdout, stderr bytes.Buffer
+	status := Run(context.Background(), args, &stdout, &stderr, backends())
+	return status, stdout.String(), stderr.String()
+}
+
+// TestStatus guards against a fault with exit status 0, a wrong command line that
+// is not told from a fault, and an error that is not shown on standard error.
+func TestStatus(t *testing.T) {
+	config := filepath.Join(t.TempDir(), "a1.toml")
+	text := "Node = \"a1\"\nFailureDomain = \"a\"\nRegion = \"r\"\nPlatformURL = \"http://127.0.0.1:1\"\n"
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		line           string
+		status         int
+		stdout, stderr string
+	}{
+		{"help", 0, "apply", ""},
+		{"help apply", 0, "Examples:", ""},
+		{"settings", 0, "`BodyBytes`", ""},
+		{"node -config " + config, 0, "node a1", ""},
+		{"node", 2, "", "-config is missing"},
+		{"node -config absent.toml", 1, "", "absent.toml"},
+		{"check -config " + config, 0, "no faults", ""},
+		{"check -inventory i -rules r", 0, "no faults", ""},
+		{"check -rules bad", 1, "", "line 3"},
+		{"check -inventory i -rules misfit", 1, "", "a service of the inventory"},
+		{"check", 2, "", "at least one file"},
+		{"check extra", 2, "", "extra"},
+		{"check -colour red", 2, "", "colour"},
+		{"apply -inventory i -rules r", 2, "", "-base is missing"},
+		{"apply -base 3", 2, "", "-inventory and -rules"},
+		{"apply -inventory i -rules r -base 3 -at tomorrow", 2, "", "2027-01-04"},
+		{"apply -inventory i -rules r -base 3 -credential absent", 1, "", "absent"},
+		{"status -node http://127.0.0.1:1", 2, "", "https://"},
+		{"keys", 2, "", "-nodes is missing"},
+		{"keys -nodes a/b", 1, "", "a/b"},
+		{"demo", 1, "", "demo failed"},
+		{"demo -nodes x", 2, "", "invalid value"},
+		{"bench", 2, "", ""},
+		{"dance", 2, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.line, func(t *testing.T) {
+			is := is.New(t)
+			status, stdout, stderr := run(strings.Fields(c.line)...)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(stdout, c.stdout))
+			is.True(strings.Contains(stderr, c.stderr))
+			is.True(status == 0 || stdout == "" || c.line == "dance" || c.line == "bench")
+		})
+	}
+}
+
+// TestHelp guards against a command without an example.
+func TestHelp(t *testing.T) {
+	b := backends()
+	b.Bench = b.Demo
+	for _, list := range groups(io.Discard, b) {
+		for _, c := range list {
+			if !strings.Contains(c.Usage(), "Example") || c.synopsis == "" || !strings.HasPrefix(c.usage, "hickoryrail "+c.name) {
+				t.Errorf("%s has no complete help", c.name)
+			}
+		}
+	}
+}
+
+// TestOperatorCommands guards against a command that shows another state than the
+// node's.
+func TestOperatorCommands(t *testing.T) {
+	f := &fleet{out: admin.Outcome{
+		State: admin.Valid, Changes: []model.Change{{Field: "Service/orders/Slots", Old: "6", New: "8"}},
+	}}
+	flags := serve(t, f)
+	cases := []struct {
+		line, want string
+	}{
+		{"history", "ann"},
+		{"history -json", `"Version":3`},
+		{"status", "no: no version floor"},
+		{"status -json", `"Alive":2`},
+		{"plan -inventory i -rules r", "~ Service/orders/Slots = 8 (was 6)\n\napply with:\n  hickoryrail apply -inventory i -rules r -base 3"},
+		{"plan -inventory i -rules r -base 2", "-base 2"},
+	}
+	for _, c := range cases {
+		t.Run(c.line, func(t *testing.T) {
+			is := is.New(t)
+			status, stdout, stderr := run(append(strings.Fields(c.line), flags...)...)
+			is.Equal(stderr, "")
+			is.Equal(status, 0)
+			is.True(strings.Contains(stdout, c.want))
+		})
+	}
+	for _, e := range f.edits {
+		is.New(t).True(e.DryRun) // plan changes nothing
+	}
+}
+
+// TestApply guards against an edit that is submitted under two ids, and against an
+// unknown outcome that is reported as a refusal or as a success.
+func TestApply(t *testing.T) {
+	lost := errors.New("connection closed")
+	down := result.NewError(result.NotRun, "platform is down", nil)
+	cases := []struct {
+		name        string
+		errs        []error
+		out         admin.Outcome
+		submissions int
+		status      int
+		want        string
+	}{
+		{"accepted", nil, admin.Outcome{State: admin.Accepted, Version: 4}, 1, 0, "is release 4"},
+		{"scheduled", nil, admin.Outcome{State: admin.Scheduled, ReleaseMillis: 1.7e12}, 1, 0, "2023-11-14T22:13:20Z"},
+		{"clash", nil, admin.Outcome{State: admin.Refused, Clashes: []string{"Service/orders/Slots"}}, 1, 1, "another edit changed Service/orders/Slots"},
+		{"answer lost", []error{lost}, admin.Outcome{State: admin.Accepted, Version: 4}, 2, 0, "is release 4"},
+		{"down", []error{down}, admin.Outcome{}, 1, 1, "nothing changed"},
+		{"lost, then down", []error{lost, down, down, down}, admin.Outcome{}, 4, 1, "outcome is unknown"},
+		{"always lost", []error{lost, lost, lost, lost}, admin.Outcome{}, 4, 1, "repeat the command with -edit"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{errs: c.errs, out: c.out}
+			line := append(strings.Fields("apply -inventory i -rules r -base 3 -operator ann"), serve(t, f)...)
+			status, stdout, stderr := run(line...)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(stdout+stderr, c.want))
+			is.Equal(len(f.edits), c.submissions)
+			for _, e := range f.edits {
+				is.Equal(e, f.edits[0])
+				is.True(e.EditID != "" && e.Base == 3 && !e.DryRun)
+			}
+		})
+	}
+}
+
+// TestWatch guards against a watch that ends before every live node holds the
+// release, or that waits for a dead one.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	nodes := []admin.NodeStatus{
+		{Node: "a1", State: "Alive", Held: 4},
+		{Node: "a2", State: "Suspect", Held: 2},
+		{Node: "a3", State: "Dead", Held: 1},
+		{Node: "a4", State: "Left"},
+	}
+	f := &fleet{nodes: nodes}
+	status, stdout, _ := run(append([]string{"watch"}, serve(t, f)...)...)
+	is.Equal(status, 0)
+	is.Equal(stdout, "version 3 is in force on 1 of 2 live nodes; behind: a2 (holds 2, Suspect); dead: a3\n"+
+		"version 3 is in force on 2 of 2 live nodes; dead: a3\n")
+
+	status, stdout, stderr := run(append([]string{"watch", "-json", "-version", "9", "-timeout", "100ms"}, serve(t, f)...)...)
+	is.Equal(status, 1)
+	is.True(strings.Contains(stderr, "behind: a1 (holds 4, Alive)"))
+	var p progress
+	is.NoErr(json.Unmarshal([]byte(stdout), &p))
+	is.Equal(p.Laggards[1].Node, ident.NodeID("a2"))
+	is.True(!progressOf(1, nil).done()) // a fleet that is not known is not done
+}
+
+// TestKeys guards against keys that replace existing ones or do not load.
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	directory := filepath.Join(t.TempDir(), "keys")
+	for _, c := range []struct {
+		line   []string
+		status int
+	}{
+		{[]string{"keys", "-directory", directory, "-nodes", "a1, a2"}, 0},
+		{[]string{"keys", "-directory", directory, "-nodes", "a1"}, 1},
+		{[]string{"keys", "-directory", directory, "-nodes", "a3", "-add"}, 0},
+		{[]string{"keys", "-directory", directory, "-nodes", "a3", "-add"}, 1},
+	} {
+		status, _, _ := run(c.line...)
+		is.Equal(status, c.status)
+	}
+	for _, n := range []ident.NodeID{"a1", "a2", "a3"} {
+		_, err := keys.LoadIdentity(directory, n)
+		is.NoErr(err)
+	}
+}
+
+// TestSettingsPage guards against a settings page that differs from the table.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/settings.md")
+	is.NoErr(err)
+	if string(page) != conf.Markdown() {
+		t.Fatal("docs/settings.md is not current: go run ./cmd/hickoryrail settings > docs/settings.md")
+	}
+}
--- /dev/null
+++ b/io/cmds/node.go
@@ -0,0 +1,114 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"hickoryrail/io/conf"
+	"hickoryrail/io/stub"
+)
+
+const (
+	// demoUsage is the help of the demo command.
+	demoUsage = `hickoryrail demo [flags]
+
+Runs a fleet of nodes, targets and a platform stand-in in one process on
+loopback addresses, sends calls through it, and prints what each step shows.
+
+Example:
+  hickoryrail demo
+`
+	// benchUsage is the help of the bench command.
+	benchUsage = `hickoryrail bench [flags] [measurement ...]
+
+Runs measurements on loopback addresses and prints a table of each.
+
+Example:
+  hickoryrail bench
+`
+)
+
+// nodeCommand runs a node.
+func nodeCommand(stdout io.Writer, node func(context.Context, conf.Settings, io.Writer) error) *command {
+	var path string
+	return &command{
+		name: "node", synopsis: "run a node",
+		usage: `hickoryrail node -config FILE
+
+Runs a node until SIGINT or SIGTERM, then stops it gracefully: requests in
+flight end first. A second signal ends it at once. The log goes to standard
+output as JSON lines.
+
+Example:
+  hickoryrail node -config a1.toml
+`,
+		flags: func(f *flag.FlagSet) { f.StringVar(&path, "config", "", "settings `file` of the node") },
+		run: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if path == "" {
+				return usageError{"-config is missing"}
+			}
+			s, err := conf.Load(path)
+			if err != nil {
+				return err
+			}
+			return node(ctx, s, stdout)
+		},
+	}
+}
+
+// platformCommand runs the stand-in for the platform.
+func platformCommand(stdout io.Writer) *command {
+	var listen string
+	return &command{
+		name: "platform", synopsis: "run a stand-in for the platform's table service and object store",
+		usage: `hickoryrail platform [-listen ADDRESS]
+
+Runs a stand-in for the platform's transactional table service and object store,
+for trials without a platform. It keeps everything in memory: when it stops, all
+releases are gone. docs/platform.md has its protocol and its faults.
+
+Example:
+  hickoryrail platform -listen 127.0.0.1:7300
+`,
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&listen, "listen", "127.0.0.1:7300", "TCP `address`; port 0 takes a free one")
+		},
+		run: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			s := &stub.Server{Listen: listen}
+			if err := s.Open(); err != nil {
+				return err
+			}
+			fmt.Fprintf(stdout, "platform stand-in at http://%s\n", s.Address())
+			return s.Run(ctx)
+		},
+	}
+}
+
+// settingsCommand prints the table of settings.
+func settingsCommand(stdout io.Writer) *command {
+	return &command{
+		name: "settings", synopsis: "print the settings of a node with defaults and allowed values",
+		usage: `hickoryrail settings
+
+Prints the page docs/settings.md.
+
+Example:
+  hickoryrail settings > docs/settings.md
+`,
+		run: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			_, err := io.WriteString(stdout, conf.Markdown())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/io/cmds/watch.go
@@ -0,0 +1,195 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/io/admin"
+)
+
+const (
+	// pollMillis is the interval between two looks at the fleet.
+	pollMillis = 500 * clock.Millis(1)
+	// maxNamed bounds the laggards that are named on a line.
+	maxNamed = 10
+)
+
+type (
+	// watcher looks at the fleet until a release is in force everywhere.
+	watcher struct {
+		version ident.Version
+		timeout clock.Millis
+		asJSON  bool
+	}
+
+	// progress is how far a release has come.
+	progress struct {
+		Version ident.Version
+		// InForce counts the live nodes that hold the version or a later one.
+		InForce int
+		// Live counts the nodes that are not dead and have not left.
+		Live int
+		// Laggards are the live nodes that hold an earlier version.
+		Laggards []laggard
+		// Unreachable are the dead nodes; they get the release when they return.
+		Unreachable []ident.NodeID
+	}
+
+	// laggard is a node that does not hold the release yet.
+	laggard struct {
+		Node  ident.NodeID
+		Held  ident.Version
+		State string
+	}
+
+	// fleetSource tells the versions that nodes hold.
+	fleetSource interface {
+		Fleet(ctx context.Context) ([]admin.NodeStatus, error)
+	}
+)
+
+// errNotEverywhere reports a release that is not in force everywhere in time.
+var errNotEverywhere = errors.New("the release is not in force everywhere")
+
+// watchCommand shows the progress of a release.
+func watchCommand(stdout io.Writer) *command {
+	var c connection
+	w := watcher{}
+	var version uint64
+	var timeout time.Duration
+	return &command{
+		name: "watch", synopsis: "show a release's progress until it is in force everywhere",
+		usage: `hickoryrail watch [-version N] [-timeout DURATION] [-json] [-node URL]
+
+Prints a line whenever the progress changes, with the nodes that lag behind, and
+ends when every live node holds the release. Dead nodes are named and not waited
+for. The exit status is 1 if the time runs out.
+
+Examples:
+  hickoryrail watch
+  hickoryrail watch -version 12 -timeout 30s -json
+`,
+		flags: func(f *flag.FlagSet) {
+			c.flags(f)
+			f.Uint64Var(&version, "version", 0, "version to wait for; 0 is the newest")
+			f.DurationVar(&timeout, "timeout", time.Minute, "longest wait")
+			f.BoolVar(&w.asJSON, "json", false, "print JSON")
+		},
+		run: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			client, err := c.open()
+			if err != nil {
+				return err
+			}
+			w.version, w.timeout = ident.Version(version), clock.FromDuration(timeout)
+			if w.version == 0 {
+				newest, err := client.Configuration(ctx)
+				if err != nil {
+					return err
+				}
+				w.version = newest.Version
+			}
+			return w.run(ctx, client, stdout)
+		},
+	}
+}
+
+// run prints the progress until the release is in force everywhere.
+func (w *watcher) run(ctx context.Context, source fleetSource, stdout io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout.Duration())
+	defer cancel()
+	ticker := time.NewTicker(pollMillis.Duration())
+	defer ticker.Stop()
+	last := ""
+	for {
+		nodes, err := source.Fleet(ctx)
+		switch {
+		case errors.Is(err, admin.ErrUnauthorized):
+			return err
+		case err != nil && ctx.Err() == nil:
+			// A node that restarts or is cut off for a moment does not end the watch.
+			last = w.print(stdout, last, "the node cannot be asked: "+err.Error(), struct{ Error string }{err.Error()})
+		case err == nil:
+			p := progressOf(w.version, nodes)
+			last = w.print(stdout, last, p.String(), p)
+			if p.done() {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s", errNotEverywhere, last)
+		case <-ticker.C:
+		}
+	}
+}
+
+// print prints a line unless it repeats the last one, and returns it.
+func (w *watcher) print(stdout io.Writer, last, line string, v any) string {
+	if line == last {
+		return last
+	}
+	if w.asJSON {
+		// A failed write to standard output must not end the watch of a release.
+		_ = printJSON(stdout, v)
+	} else {
+		fmt.Fprintln(stdout, line)
+	}
+	return line
+}
+
+// progressOf counts the nodes that hold version or a later one.
+func progressOf(version ident.Version, nodes []admin.NodeStatus) progress {
+	p := progress{Version: version}
+	for _, n := range nodes {
+		switch {
+		case n.State == member.Left.String():
+		case n.State == member.Dead.String():
+			p.Unreachable = append(p.Unreachable, n.Node)
+		case n.Held >= version:
+			p.Live++
+			p.InForce++
+		default:
+			p.Live++
+			p.Laggards = append(p.Laggards, laggard{Node: n.Node, Held: n.Held, State: n.State})
+		}
+	}
+	return p
+}
+
+// done reports whether every live node holds the release. A fleet without live
+// nodes is never done.
+func (p progress) done() bool {
+	return p.Live > 0 && p.InForce == p.Live
+}
+
+// String returns the progress on one line.
+func (p progress) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version %d is in force on %d of %d live nodes", p.Version, p.InForce, p.Live)
+	for i, l := range p.Laggards {
+		if i == maxNamed {
+			fmt.Fprintf(&b, " and %d more", len(p.Laggards)-maxNamed)
+			break
+		}
+		fmt.Fprintf(&b, "%s%s (holds %d, %s)", map[bool]string{true: "; behind: ", false: ", "}[i == 0], l.Node, l.Held, l.State)
+	}
+	for i, n := range p.Unreachable {
+		if i == maxNamed {
+			fmt.Fprintf(&b, " and %d more", len(p.Unreachable)-maxNamed)
+			break
+		}
+		fmt.Fprintf(&b, "%s%s", map[bool]string{true: "; dead: ", false: ", "}[i == 0], n)
+	}
+	return b.String()
+}
