io/wire: add the call messages

Cause: the ingress and the target node need a message format for attempts, answers and voids. Change: Request, Response, Void and Voided in CBOR array form, with one envelope per direction and bounds on every field. Header values and the URI are byte strings, because HTTP allows bytes that are not UTF-8. An id is unique per attempt, so that a void record covers exactly one attempt. Conclusion: a decoded call owns its memory and cannot break out of an HTTP request line or header line.

--- /dev/null
+++ b/io/wire/call.go
@@ -0,0 +1,237 @@
+package wire
+
+import (
+	"errors"
+	"slices"
+
+	"hickoryrail/core/admit"
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+)
+
+const (
+	// MaxCallHeaders bounds the header fields of one request or response.
+	MaxCallHeaders = 256
+	// CallOverheadBytes bounds what a call adds to its body and header bytes: the
+	// framing, the ids and the URI.
+	CallOverheadBytes = 64 << 10
+	// maxIDBytes bounds ids, names and reasons in a call.
+	maxIDBytes = 256
+)
+
+type (
+	// Header is one header field. Value holds any bytes that HTTP allows, which
+	// need not be UTF-8.
+	Header struct {
+		_     struct{} `cbor:",toarray"`
+		Name  string
+		Value []byte
+	}
+
+	// Request is one attempt of a caller's request, sent to the node beside the
+	// target. It owns all of its bytes.
+	Request struct {
+		_ struct{} `cbor:",toarray"`
+		// ID is unique per attempt, so that a void record covers one attempt.
+		ID ident.RequestID
+		// Gate is the life of the gate that the attempt is addressed to.
+		Gate ident.Incarnation
+		// Target is the target that the ingress chose.
+		Target ident.TargetID
+		// Attempt counts from 1.
+		Attempt    int
+		Route      ident.RouteName
+		Class      model.Class
+		Idempotent bool
+		// RemainingMillis is relative, because the clocks of nodes differ.
+		RemainingMillis clock.Millis
+		Method          string
+		URI             []byte
+		Headers         []Header
+		Body            []byte
+	}
+
+	// Response is the outcome of one attempt. Status, Headers and Body are set
+	// only if Verdict is Ran. It owns all of its bytes.
+	Response struct {
+		_       struct{} `cbor:",toarray"`
+		Verdict result.Verdict
+		Reason  string
+		Status  int
+		Headers []Header
+		Body    []byte
+		Load    admit.Load
+	}
+
+	// Void asks a gate never to run an attempt.
+	Void struct {
+		_    struct{} `cbor:",toarray"`
+		ID   ident.RequestID
+		Gate ident.Incarnation
+		// RemainingMillis bounds the wait for an attempt that is running.
+		RemainingMillis clock.Millis
+	}
+
+	// Voided is the reply to Void. NotRun means that the attempt never runs.
+	// Response is set if the attempt's outcome is still known.
+	Voided struct {
+		_        struct{} `cbor:",toarray"`
+		Verdict  result.Verdict
+		Reason   string
+		Response *Response
+	}
+
+	// Call is the envelope of what opens a call stream; exactly one field is set.
+	Call struct {
+		_       struct{} `cbor:",toarray"`
+		Request *Request
+		Void    *Void
+	}
+
+	// Answer is the envelope of what closes a call stream; exactly one field is
+	// set.
+	Answer struct {
+		_        struct{} `cbor:",toarray"`
+		Response *Response
+		Voided   *Voided
+	}
+)
+
+var (
+	// errEnvelope reports an envelope without exactly one message.
+	errEnvelope = errors.New("call envelope does not hold exactly one message")
+	// errCallField reports a field that is out of its bounds.
+	errCallField = errors.New("call has a field that is out of bounds")
+)
+
+// DecodeCall decodes and checks a Call of at most limit bytes. The result shares
+// no memory with body.
+func DecodeCall(body []byte, limit int) (Call, error) {
+	c, err := Decode[Call](body, limit)
+	switch {
+	case err != nil:
+		return Call{}, err
+	case (c.Request == nil) == (c.Void == nil):
+		return Call{}, errEnvelope
+	case c.Request != nil && !c.Request.valid(), c.Void != nil && !c.Void.valid():
+		return Call{}, errCallField
+	}
+	return c, nil
+}
+
+// DecodeAnswer decodes and checks an Answer of at most limit bytes. The result
+// shares no memory with body.
+func DecodeAnswer(body []byte, limit int) (Answer, error) {
+	a, err := Decode[Answer](body, limit)
+	switch {
+	case err != nil:
+		return Answer{}, err
+	case (a.Response == nil) == (a.Voided == nil):
+		return Answer{}, errEnvelope
+	case a.Response != nil && !a.Response.valid(), a.Voided != nil && !a.Voided.valid():
+		return Answer{}, errCallField
+	}
+	return a, nil
+}
+
+// Clone returns a copy that shares no memory with r.
+func (r *Response) Clone() *Response {
+	c := *r
+	c.Headers = slices.Clone(r.Headers)
+	for i := range c.Headers {
+		c.Headers[i].Value = slices.Clone(c.Headers[i].Value)
+	}
+	c.Body = slices.Clone(r.Body)
+	return &c
+}
+
+// valid reports whether every field is within its bounds.
+func (r *Request) valid() bool {
+	return validID(r.ID) && len(r.Target) <= maxIDBytes && len(r.Route) <= maxIDBytes &&
+		r.Attempt >= 1 && r.Attempt <= 2*model.MaxRouteAttempts && r.Class <= model.Browse &&
+		r.RemainingMillis >= 0 && r.RemainingMillis <= model.MaxTimeoutMillis &&
+		validMethod(r.Method) && validURI(r.URI) && validHeaders(r.Headers)
+}
+
+// valid reports whether every field is within its bounds.
+func (r *Response) valid() bool {
+	statusOK := r.Verdict != result.Ran && r.Status == 0 || r.Verdict == result.Ran && r.Status >= 100 && r.Status <= 999
+	return r.Verdict <= result.Ran && statusOK && len(r.Reason) <= maxIDBytes &&
+		r.Load.Free >= 0 && r.Load.Queued >= 0 && validHeaders(r.Headers)
+}
+
+// valid reports whether every field is within its bounds.
+func (v *Void) valid() bool {
+	return validID(v.ID) && v.RemainingMillis >= 0 && v.RemainingMillis <= model.MaxTimeoutMillis
+}
+
+// valid reports whether every field is within its bounds.
+func (v *Voided) valid() bool {
+	return v.Verdict <= result.Ran && len(v.Reason) <= maxIDBytes && (v.Response == nil || v.Response.valid())
+}
+
+// validID reports whether id has an allowed length.
+func validID(id ident.RequestID) bool {
+	return id != "" && len(id) <= maxIDBytes
+}
+
+// validMethod reports whether m is a short HTTP token.
+func validMethod(m string) bool {
+	return len(m) <= 32 && validToken(m)
+}
+
+// validURI reports whether u is an origin-form target that cannot break out of
+// the request line.
+func validURI(u []byte) bool {
+	if len(u) == 0 || len(u) > CallOverheadBytes/2 || u[0] != '/' {
+		return false
+	}
+	for _, c := range u {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// validHeaders reports whether no field can break out of its line.
+func validHeaders(headers []Header) bool {
+	if len(headers) > MaxCallHeaders {
+		return false
+	}
+	for _, h := range headers {
+		if !validToken(h.Name) {
+			return false
+		}
+		for _, c := range h.Value {
+			if c < ' ' && c != '\t' || c == 0x7f {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// validToken reports whether s is an HTTP token (RFC 9110, 5.6.2).
+func validToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && !isTokenMark(c) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// isTokenMark reports whether c is a mark that a token may hold.
+func isTokenMark(c byte) bool {
+	switch c {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
