core/route: choose targets by power of two choices

Change: add Picker with the bounded subset, scores from own evidence, slow start, ejection with a floor and the delay quantile for hedging. A call's outcome carries the gate it was addressed to, so late outcomes of an earlier gate incarnation are no evidence against the present one.

--- /dev/null
+++ b/core/route/picker.go
@@ -0,0 +1,336 @@
+// Package route provides the choice of a target for each attempt of a request.
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"hickoryrail/core/admit"
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/result"
+	"hickoryrail/core/view"
+)
+
+const (
+	// MaxSubset bounds the targets of one service that a picker considers.
+	MaxSubset = 16
+	// maxEvents bounds the ejection events that wait to be read; older ones are
+	// overwritten.
+	maxEvents = 64
+)
+
+// Reasons of a choice.
+const (
+	// ReasonOnly marks the one candidate that was left.
+	ReasonOnly = "only candidate"
+	// ReasonScore marks the lower score of two candidates.
+	ReasonScore = "lower score of two candidates"
+	// ReasonDomain marks a candidate that won by its failure domain.
+	ReasonDomain = "nearer failure domain"
+	// ReasonSlowStart marks a candidate that won because the other one is new.
+	ReasonSlowStart = "other candidate is in slow start"
+	// ReasonNoTargets says that the service has no targets.
+	ReasonNoTargets = "service has no targets"
+	// ReasonExhausted says that every target left is excluded or ejected.
+	ReasonExhausted = "no other target left"
+)
+
+type (
+	// Limits are the settings of a Picker; a zero field takes its default.
+	Limits struct {
+		// Subset is the number of targets per service, at most MaxSubset.
+		Subset int
+		// EjectAfter is the number of consecutive failures that ejects a target.
+		EjectAfter int
+		// EjectMillis is the time of the first ejection; it doubles with each one.
+		EjectMillis clock.Millis
+		// EjectMaxMillis bounds the time of an ejection.
+		EjectMaxMillis clock.Millis
+		// SlowStartMillis is the time in which a new target's share grows to full.
+		SlowStartMillis clock.Millis
+		// ReportMillis is the age at which a load report counts half.
+		ReportMillis clock.Millis
+		// IdleMillis is the time without calls after which own evidence counts half.
+		IdleMillis clock.Millis
+		// DomainFactor multiplies the score of a target in another failure domain.
+		DomainFactor float64
+		// RegionFactor multiplies the score of a target in another region.
+		RegionFactor float64
+	}
+
+	// Picker chooses targets by power of two choices over a bounded subset. It
+	// is not safe for concurrent use.
+	Picker struct {
+		// Self, FailureDomain and Region are those of this node.
+		Self          ident.NodeID
+		FailureDomain ident.FailureDomain
+		Region        ident.Region
+		// Rand is required.
+		Rand *rand.Rand
+		// Limits are read at the first SetView.
+		Limits Limits
+
+		services map[ident.ServiceName]*group
+		// targets keeps a target that left the view while calls are in flight.
+		targets map[ident.TargetID]*evidence
+		events  [maxEvents]Event
+		// written counts events; read counts those that were returned.
+		written, read int
+	}
+
+	// Choice is the target of one attempt.
+	Choice struct {
+		Target view.Target
+		// Reason is a constant phrase; set also if there is no target.
+		Reason string
+	}
+
+	// Outcome is what an attempt showed of its target.
+	Outcome struct {
+		// Delay is the time from sending to the answer or the failure.
+		Delay   clock.Millis
+		Verdict result.Verdict
+		// Failed says that the target or the way to it failed. A refusal by a
+		// full or draining gate is not a failure.
+		Failed bool
+		// Load is the gate's report if HasLoad.
+		Load    admit.Load
+		HasLoad bool
+		// Gate is the gate that the attempt was addressed to. An outcome of an
+		// earlier gate ends the call but is no evidence; 0 means the present one.
+		Gate ident.Incarnation
+	}
+
+	// Event is the start or the end of an ejection.
+	Event struct {
+		At      clock.Millis
+		Service ident.ServiceName
+		Target  ident.TargetID
+		Ejected bool
+		// Until is the end of the ejection.
+		Until clock.Millis
+		// Reason is a constant phrase.
+		Reason string
+	}
+)
+
+// DefaultLimits returns the limits that stand for zero fields.
+func DefaultLimits() Limits {
+	return Limits{
+		Subset: MaxSubset, EjectAfter: 5, EjectMillis: clock.Second, EjectMaxMillis: clock.Minute,
+		SlowStartMillis: 10 * clock.Second, ReportMillis: clock.Second, IdleMillis: 5 * clock.Second,
+		DomainFactor: 1.25, RegionFactor: 3,
+	}
+}
+
+// SetView replaces the targets. Evidence of a target that stays, or returns
+// while its calls are in flight, is kept.
+func (p *Picker) SetView(now clock.Millis, v *view.View) {
+	first := p.services == nil
+	if first {
+		p.Limits = p.Limits.orDefaults()
+		p.services = make(map[ident.ServiceName]*group)
+		p.targets = make(map[ident.TargetID]*evidence)
+	}
+	for _, e := range p.targets {
+		e.present = false
+	}
+	known := v.Release().Configuration.Inventory.Services
+	for _, s := range known {
+		g := p.services[s.Name]
+		if g == nil {
+			g = &group{name: s.Name}
+			p.services[s.Name] = g
+		}
+		g.slots = max(int(s.Slots), 1)
+		p.fill(now, g, v.Targets(s.Name))
+	}
+	for name, g := range p.services {
+		if _, ok := v.Service(name); !ok {
+			g.candidates = nil
+			delete(p.services, name)
+		}
+	}
+	p.forget(now)
+}
+
+// fill sets a group's candidates to its subset of the targets.
+func (p *Picker) fill(now clock.Millis, g *group, targets []view.Target) {
+	established := len(g.candidates) == 0
+	g.candidates = g.candidates[:0]
+	for _, t := range p.subset(targets) {
+		e := p.targets[t.ID]
+		switch {
+		case e == nil:
+			e = &evidence{started: now, seenAt: now}
+			if established {
+				// Without established targets to prefer there is nothing to ramp up against.
+				e.started = now - p.Limits.SlowStartMillis
+			}
+			p.targets[t.ID] = e
+		case e.target.Gate != t.Gate:
+			e.restart(now)
+		}
+		e.target, e.group, e.present, e.leftAt = t, g, true, clock.Forever
+		e.factor = p.factor(t)
+		g.candidates = append(g.candidates, e)
+	}
+	p.restoreFloor(now, g)
+}
+
+// factor returns the multiplier of the score for the target's distance.
+func (p *Picker) factor(t view.Target) float64 {
+	switch {
+	case t.FailureDomain == p.FailureDomain:
+		return 1
+	case t.Region == p.Region:
+		return p.Limits.DomainFactor
+	default:
+		return p.Limits.RegionFactor
+	}
+}
+
+// forget drops the evidence of targets that left, once no call is in flight and
+// the longest ejection could have ended.
+func (p *Picker) forget(now clock.Millis) {
+	for id, e := range p.targets {
+		if !e.present {
+			e.leftAt = min(e.leftAt, now)
+			if e.inFlight == 0 && now-e.leftAt >= p.Limits.EjectMaxMillis {
+				delete(p.targets, id)
+			}
+		}
+	}
+}
+
+// Pick chooses a target and counts a call in flight to it, which Done ends. It
+// returns false if exclude and ejections leave none; the caller can then pick
+// without exclude after a back-off. It allocates nothing.
+func (p *Picker) Pick(now clock.Millis, service ident.ServiceName, exclude []ident.TargetID) (Choice, bool) {
+	g := p.services[service]
+	if g == nil || len(g.candidates) == 0 {
+		return Choice{Reason: ReasonNoTargets}, false
+	}
+	var open [MaxSubset]*evidence
+	n := 0
+	for _, e := range g.candidates {
+		if e.ejected && now >= e.ejectedUntil {
+			p.readmit(now, e, "ejection time is over")
+		}
+		if !e.ejected && !slices.Contains(exclude, e.target.ID) {
+			open[n] = e
+			n++
+		}
+	}
+	switch n {
+	case 0:
+		return Choice{Reason: ReasonExhausted}, false
+	case 1:
+		return open[0].choose(ReasonOnly), true
+	}
+	i := p.Rand.IntN(n)
+	j := p.Rand.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	return p.better(now, g, open[i], open[j]), true
+}
+
+// better returns the choice between two candidates.
+func (p *Picker) better(now clock.Millis, g *group, a, b *evidence) Choice {
+	wa, wb := p.share(now, a), p.share(now, b)
+	if wa < 1 || wb < 1 {
+		// A share below 1 is the chance to take part in the comparison, so that
+		// a new target gets that part of its full traffic whatever its score.
+		inA, inB := p.Rand.Float64() < wa, p.Rand.Float64() < wb
+		switch {
+		case inA && !inB:
+			return a.choose(ReasonSlowStart)
+		case inB && !inA:
+			return b.choose(ReasonSlowStart)
+		}
+	}
+	sa, sb := p.score(now, g, a), p.score(now, g, b)
+	if sb*b.factor < sa*a.factor {
+		a, b, sa, sb = b, a, sb, sa
+	}
+	if sa > sb {
+		return a.choose(ReasonDomain)
+	}
+	return a.choose(ReasonScore)
+}
+
+// Done ends a call and takes its outcome as evidence. A target without calls in
+// flight is left alone.
+func (p *Picker) Done(now clock.Millis, target ident.TargetID, o Outcome) {
+	e := p.targets[target]
+	if e == nil || e.inFlight == 0 {
+		return
+	}
+	e.inFlight--
+	if !e.present || (o.Gate != 0 && o.Gate != e.target.Gate) {
+		return
+	}
+	if o.HasLoad {
+		e.load, e.loadAt, e.hasLoad = o.Load, now, true
+	}
+	switch {
+	case o.Failed:
+		p.failed(now, e, o)
+	case o.Verdict == result.NotRun:
+		e.refused(now)
+	default:
+		e.succeeded(now, o.Delay, p.Limits)
+	}
+}
+
+// Delay95 returns the 95th percentile of the recent delays of answered calls, or
+// 0 while there are too few of them.
+func (p *Picker) Delay95(service ident.ServiceName) clock.Millis {
+	g := p.services[service]
+	if g == nil {
+		return 0
+	}
+	return g.delays.quantile95()
+}
+
+// InFlight returns the number of calls in flight to a target.
+func (p *Picker) InFlight(target ident.TargetID) int {
+	if e := p.targets[target]; e != nil {
+		return e.inFlight
+	}
+	return 0
+}
+
+// Events appends the ejection events since the last call to out, oldest first.
+func (p *Picker) Events(out []Event) []Event {
+	p.read = max(p.read, p.written-maxEvents)
+	for ; p.read < p.written; p.read++ {
+		out = append(out, p.events[p.read%maxEvents])
+	}
+	return out
+}
+
+// orDefaults replaces zero fields and bounds the subset.
+func (l Limits) orDefaults() Limits {
+	d := DefaultLimits()
+	orDefault(&l.Subset, d.Subset)
+	orDefault(&l.EjectAfter, d.EjectAfter)
+	orDefault(&l.EjectMillis, d.EjectMillis)
+	orDefault(&l.EjectMaxMillis, d.EjectMaxMillis)
+	orDefault(&l.SlowStartMillis, d.SlowStartMillis)
+	orDefault(&l.ReportMillis, d.ReportMillis)
+	orDefault(&l.IdleMillis, d.IdleMillis)
+	orDefault(&l.DomainFactor, d.DomainFactor)
+	orDefault(&l.RegionFactor, d.RegionFactor)
+	l.Subset = min(l.Subset, MaxSubset)
+	return l
+}
+
+// orDefault sets v if it is not positive.
+func orDefault[T int | float64 | clock.Millis](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/core/route/picker_test.go
@@ -0,0 +1,108 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/core/view"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// record returns the record of target i of a service over four failure domains.
+func record(service string, i int, gate ident.Incarnation) member.Record {
+	id := fmt.Sprintf("%s-%02d", service, i)
+	return member.Record{
+		Node: ident.NodeID("node-" + id), State: member.Alive, PeerAddress: "127.0.0.1:1",
+		FailureDomain: ident.FailureDomain(fmt.Sprintf("fd-%d", i%4)), Region: ident.Region(fmt.Sprintf("region-%d", i%4/2)),
+		Service: ident.ServiceName(service), Target: ident.TargetID(id), TargetState: member.Ready, GateIncarnation: gate,
+	}
+}
+
+// viewOf returns a view of one service with the given records.
+func viewOf(records ...member.Record) *view.View {
+	return view.Build(model.Release{Version: 1, Configuration: model.Configuration{
+		Inventory: model.Inventory{Services: []model.Service{{Name: "orders", Slots: 6, Connections: 130}}},
+	}}, records)
+}
+
+// viewSize returns a view of n targets of the service orders.
+func viewSize(n int) *view.View {
+	records := make([]member.Record, n)
+	for i := range records {
+		records[i] = record("orders", i, 1)
+	}
+	return viewOf(records...)
+}
+
+func newPicker(seed uint64) *Picker {
+	return &Picker{
+		Self: "node-0", FailureDomain: "fd-0", Region: "region-0",
+		Rand: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// TestSubsetHasEveryDomain guards against a subset that depends on one failure
+// domain or exceeds its bound.
+func TestSubsetHasEveryDomain(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(1)
+	p.SetView(0, viewSize(200))
+	seen := map[ident.FailureDomain]int{}
+	for _, e := range p.services["orders"].candidates {
+		seen[e.target.FailureDomain]++
+	}
+	is.Equal(len(p.services["orders"].candidates), MaxSubset)
+	is.Equal(len(seen), 4)
+	is.Equal(seen["fd-0"], MaxSubset/2)
+}
+
+// TestRefusalIsLoadNotFailure guards against ejecting targets that are merely
+// full.
+func TestRefusalIsLoadNotFailure(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(1)
+	p.SetView(0, viewSize(4))
+	for range 100 {
+		c, ok := p.Pick(1, "orders", nil)
+		is.True(ok)
+		p.Done(1, c.Target.ID, Outcome{Delay: 1, Verdict: result.NotRun})
+	}
+	is.Equal(len(p.Events(nil)), 0)
+}
+
+// TestEjectionDoubles guards against a failing target that returns at a constant
+// rate.
+func TestEjectionDoubles(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(1)
+	p.SetView(0, viewSize(4))
+	now := clock.Millis(0)
+	for range 20_000 {
+		now += 2
+		c, ok := p.Pick(now, "orders", nil)
+		is.True(ok)
+		p.Done(now, c.Target.ID, Outcome{Delay: 1, Verdict: result.Ran, Failed: c.Target.ID == "orders-01"})
+	}
+	var last clock.Millis
+	for _, e := range p.Events(nil) {
+		is.Equal(e.Target, ident.TargetID("orders-01"))
+		if e.Ejected {
+			is.True(e.Until-e.At > last)
+			last = e.Until - e.At
+		}
+	}
+	is.True(last >= 4*clock.Second)
+}
