--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,83 @@
+// Package retry provides the decision whether and when a request is attempted
+// again.
+package retry
+
+import "hickoryrail/core/clock"
+
+const (
+	// DefaultRatio is the number of tokens that one call adds.
+	DefaultRatio = 0.1
+	// DefaultPerSecond is the number of tokens added each second without calls.
+	DefaultPerSecond = 1
+	// DefaultBurst bounds the tokens.
+	DefaultBurst = 50
+)
+
+// Budget is a token bucket for the extra attempts of one node. A first attempt
+// takes no token; a retry or hedge takes one.
+type Budget struct {
+	// Ratio is the number of tokens that one call adds; 0 means DefaultRatio.
+	Ratio float64
+	// PerSecond is the number of tokens added each second; 0 means
+	// DefaultPerSecond, below 0 none.
+	PerSecond float64
+	// Burst bounds the tokens; 0 means DefaultBurst.
+	Burst float64
+
+	// tokens is from 0 to Burst.
+	tokens float64
+	// filledAt is the instant up to which PerSecond was added, if started.
+	filledAt clock.Millis
+	started  bool
+}
+
+// Call adds the tokens of one new call.
+func (b *Budget) Call(now clock.Millis) {
+	b.fill(now)
+	b.add(orDefault(b.Ratio, DefaultRatio))
+}
+
+// Take removes a token and reports whether there was one.
+func (b *Budget) Take(now clock.Millis) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Return gives back the token of an extra attempt that was not sent.
+func (b *Budget) Return() {
+	b.add(1)
+}
+
+// Tokens returns the tokens at now.
+func (b *Budget) Tokens(now clock.Millis) float64 {
+	b.fill(now)
+	return b.tokens
+}
+
+// fill adds the tokens of the time since the last event. A step of the clock
+// backwards adds none.
+func (b *Budget) fill(now clock.Millis) {
+	if b.started && now > b.filledAt {
+		b.add(max(orDefault(b.PerSecond, DefaultPerSecond), 0) * float64((now-b.filledAt)/clock.Second))
+	}
+	if !b.started || now > b.filledAt {
+		b.filledAt, b.started = now, true
+	}
+}
+
+// add adds n tokens up to the bound.
+func (b *Budget) add(n float64) {
+	b.tokens = min(b.tokens+n, orDefault(b.Burst, DefaultBurst))
+}
+
+// orDefault returns d in place of 0.
+func orDefault[T int | float64 | clock.Millis](v, d T) T {
+	if v == 0 {
+		return d
+	}
+	return v
+}
