io/wire: let a kept answer reply to a void

Cause: the fence keeps encoded answers, and an answer to HEAD has a length without a body. Change: a Void of an attempt with a kept answer is answered by that answer, so Voided has no Response. Response gets ContentLength, and Request gets Forwardable for the ingress's own check.

--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 
 	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
@@ -62,7 +61,10 @@
 		Status  int
 		Headers []Header
 		Body    []byte
-		Load    admit.Load
+		// ContentLength is that of the answer to a HEAD request, which has no
+		// body; 0 otherwise.
+		ContentLength int
+		Load          admit.Load
 	}
 
 	// Void asks a gate never to run an attempt.
@@ -74,13 +76,12 @@
 		RemainingMillis clock.Millis
 	}
 
-	// Voided is the reply to Void. NotRun means that the attempt never runs.
-	// Response is set if the attempt's outcome is still known.
+	// Voided is the reply to Void if the attempt's Response is not known. NotRun
+	// means that the attempt never runs.
 	Voided struct {
-		_        struct{} `cbor:",toarray"`
-		Verdict  result.Verdict
-		Reason   string
-		Response *Response
+		_       struct{} `cbor:",toarray"`
+		Verdict result.Verdict
+		Reason  string
 	}
 
 	// Call is the envelope of what opens a call stream; exactly one field is set.
@@ -91,7 +92,7 @@
 	}
 
 	// Answer is the envelope of what closes a call stream; exactly one field is
-	// set.
+	// set. A Void of an attempt whose response is kept is answered by that.
 	Answer struct {
 		_        struct{} `cbor:",toarray"`
 		Response *Response
@@ -136,30 +137,25 @@
 	return a, nil
 }
 
-// Clone returns a copy that shares no memory with r.
-func (r *Response) Clone() *Response {
-	c := *r
-	c.Headers = slices.Clone(r.Headers)
-	for i := range c.Headers {
-		c.Headers[i].Value = slices.Clone(c.Headers[i].Value)
-	}
-	c.Body = slices.Clone(r.Body)
-	return &c
-}
-
 // valid reports whether every field is within its bounds.
 func (r *Request) valid() bool {
 	return validID(r.ID) && len(r.Target) <= maxIDBytes && len(r.Route) <= maxIDBytes &&
 		r.Attempt >= 1 && r.Attempt <= 2*model.MaxRouteAttempts && r.Class <= model.Browse &&
 		r.RemainingMillis >= 0 && r.RemainingMillis <= model.MaxTimeoutMillis &&
-		validMethod(r.Method) && validURI(r.URI) && validHeaders(r.Headers)
+		r.Forwardable()
+}
+
+// Forwardable reports whether method, URI and headers can be written as one
+// HTTP request that a target reads in the same way.
+func (r *Request) Forwardable() bool {
+	return validMethod(r.Method) && validURI(r.URI) && validHeaders(r.Headers)
 }
 
 // valid reports whether every field is within its bounds.
 func (r *Response) valid() bool {
 	statusOK := r.Verdict != result.Ran && r.Status == 0 || r.Verdict == result.Ran && r.Status >= 100 && r.Status <= 999
 	return r.Verdict <= result.Ran && statusOK && len(r.Reason) <= maxIDBytes &&
-		r.Load.Free >= 0 && r.Load.Queued >= 0 && validHeaders(r.Headers)
+		r.ContentLength >= 0 && r.Load.Free >= 0 && r.Load.Queued >= 0 && validHeaders(r.Headers)
 }
 
 // valid reports whether every field is within its bounds.
@@ -169,7 +165,7 @@
 
 // valid reports whether every field is within its bounds.
 func (v *Voided) valid() bool {
-	return v.Verdict <= result.Ran && len(v.Reason) <= maxIDBytes && (v.Response == nil || v.Response.valid())
+	return v.Verdict <= result.NotRun && len(v.Reason) <= maxIDBytes
 }
 
 // validID reports whether id has an allowed length.
