io/proxy: add the gateway to the local target

Cause: only the target's node may talk to its target, and it must send each admitted request once. Change: Gateway runs calls through the fence and the gate to an HTTP client. The client takes connections from a fasthttp HostClient and never calls its Do, which repeats idempotent methods on its own. An idle connection is checked for a close or stray bytes before the first byte is written; a failure without a sent byte is NotRun, any later one MayHaveRun. An answer that ends with its connection is MayHaveRun, because a cut one looks the same. A connection with bytes after the answer is closed. An action that runs is not cancelled when the connection of its caller is lost; it ends by its deadline, and a void waits for its outcome.

--- /dev/null
+++ b/io/proxy/gateway.go
@@ -0,0 +1,457 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hickoryrail/core/admit"
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/once"
+	"hickoryrail/core/result"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// DefaultQueueLength bounds the calls that wait for the target.
+	DefaultQueueLength = 32
+	// DefaultAgeingMillis is the ageing bound of the queue.
+	DefaultAgeingMillis = 100 * clock.Millis(1)
+	// DefaultRunMillis is the expected run time before the first measured one.
+	DefaultRunMillis = 10 * clock.Millis(1)
+	// DefaultOccupiedMillis bounds how long an announced slot is occupied; no
+	// request lasts longer than the largest route timeout.
+	DefaultOccupiedMillis = 2 * clock.Minute
+	// tickMillis is the interval at which waiting calls are checked for expiry.
+	tickMillis = 5 * clock.Millis(1)
+)
+
+// Reasons of the gateway.
+const (
+	reasonNoTarget    = "no target has announced itself"
+	reasonOtherTarget = "request is for another target"
+)
+
+type (
+	// Announcement is what a target says of itself.
+	Announcement struct {
+		Target ident.TargetID
+		// Address is host:port of the target's HTTP server.
+		Address     string
+		Slots       ident.Slots
+		Connections ident.Connections
+		// InFlight is the number of requests that the target runs.
+		InFlight int
+	}
+
+	// Gateway is the target node's side of the data path: it admits calls to the
+	// local target and sends each admitted call once. Set the exported fields
+	// before Open.
+	Gateway struct {
+		Self ident.NodeID
+		// Incarnation is the life of the gate; calls for another one are refused.
+		Incarnation ident.Incarnation
+		Clock       clock.Clock
+		// KeepMillis is how long attempts are remembered; it must be longer than
+		// the transport can hold one. Zero means the default.
+		KeepMillis clock.Millis
+		Limits     Limits
+		// QueueLength, AgeingMillis, RunMillis and OccupiedMillis configure the
+		// gate; zero means the default.
+		QueueLength    int
+		AgeingMillis   clock.Millis
+		RunMillis      clock.Millis
+		OccupiedMillis clock.Millis
+		// Log takes the admission decisions; nil discards them.
+		Log logs.Sink
+		// Registry takes the metrics; nil keeps them private.
+		Registry prometheus.Registerer
+
+		metrics gatewayMetrics
+
+		// mu guards what follows; no lock is held while a request runs.
+		mu     sync.Mutex
+		gate   admit.Gate
+		target *target
+		// calls holds the calls that wait or run.
+		calls map[ident.RequestID]*gateCall
+		// fence has a record of every call that got to the gate.
+		fence once.Fence
+		// drained is closed when the drain in progress is complete; nil without
+		// one.
+		drained chan struct{}
+		// stopping is set for good by Drain.
+		stopping bool
+	}
+
+	// gateCall is one call at the gate.
+	gateCall struct {
+		request *wire.Request
+		// decided gets the one action that starts or refuses the call.
+		decided chan admit.Action
+		// ended is closed when the fence has the outcome.
+		ended chan struct{}
+	}
+)
+
+var (
+	// ErrDraining reports an announcement to a node that stops.
+	ErrDraining = errors.New(reasonDraining)
+	// errOpen reports a gateway without its required fields.
+	errOpen = errors.New("gateway needs a Clock")
+)
+
+// Open prepares the gateway and registers its metrics.
+func (g *Gateway) Open() error {
+	if g.Clock == nil {
+		return errOpen
+	}
+	if g.Log == nil {
+		g.Log = logs.Discard{}
+	}
+	g.Limits = g.Limits.withDefaults()
+	orDefault(&g.QueueLength, DefaultQueueLength)
+	orDefault(&g.AgeingMillis, DefaultAgeingMillis)
+	orDefault(&g.RunMillis, DefaultRunMillis)
+	orDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
+	g.gate = admit.Gate{
+		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis,
+		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
+	}
+	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis}
+	g.calls = make(map[ident.RequestID]*gateCall)
+	return g.metrics.open(g.Registry, g.Load)
+}
+
+// Address returns the address of the target, or "" without one.
+func (g *Gateway) Address() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil {
+		return ""
+	}
+	return g.target.address
+}
+
+// Run drops waiting calls whose deadline passes, until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	t := time.NewTicker(tickMillis.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			g.mu.Lock()
+			now := g.Clock.Now()
+			g.apply(now, g.gate.Tick(now))
+			g.mu.Unlock()
+		}
+	}
+}
+
+// Announce puts a target in service and ends the drain of an earlier one, whose
+// running calls continue. It returns ErrDraining once the node stops.
+func (g *Gateway) Announce(a Announcement) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return ErrDraining
+	}
+	now := g.Clock.Now()
+	if g.target == nil || g.target.id != a.Target || g.target.address != a.Address {
+		if g.target != nil {
+			g.target.close()
+		}
+		g.target = newTarget(a.Target, a.Address, a.Connections, g.Limits)
+	}
+	g.target.client.SetMaxConns(int(a.Connections))
+	g.drained = nil
+	// The announced slots are set first, so that reopening starts nothing in them.
+	g.apply(now, g.gate.Announce(now, a.InFlight))
+	g.apply(now, g.gate.Resize(now, a.Slots, a.Connections))
+	g.apply(now, g.gate.Reopen(now))
+	return nil
+}
+
+// Renew takes the target's present number of requests in flight.
+func (g *Gateway) Renew(inFlight int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.apply(now, g.gate.Renew(now, inFlight))
+}
+
+// Resize sets the limits of a new release.
+func (g *Gateway) Resize(slots ident.Slots, connections ident.Connections) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	if g.target != nil {
+		g.target.client.SetMaxConns(int(connections))
+	}
+	g.apply(now, g.gate.Resize(now, slots, connections))
+}
+
+// Leave takes the target out of service: waiting and new calls are refused as
+// not run, running ones continue.
+func (g *Gateway) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beginDrain()
+	if g.target != nil {
+		g.target.close()
+		g.target = nil
+	}
+}
+
+// DrainTarget refuses waiting and new calls as not run at once; running ones
+// continue. A new announcement ends it.
+func (g *Gateway) DrainTarget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beginDrain()
+}
+
+// Drain does the same for good, because the node stops, and returns when the
+// last running call has ended, or with the error of ctx.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.stopping = true
+	drained := g.beginDrain()
+	g.mu.Unlock()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// beginDrain starts a drain unless one is in progress. The caller holds mu.
+func (g *Gateway) beginDrain() <-chan struct{} {
+	if g.drained == nil {
+		g.drained = make(chan struct{})
+		now := g.Clock.Now()
+		g.apply(now, g.gate.Drain(now))
+	}
+	return g.drained
+}
+
+// Load returns the gate's load.
+func (g *Gateway) Load() admit.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Load()
+}
+
+// OnCall answers one call stream of another node. Input that does not decode is
+// answered as not run, and changes nothing.
+func (g *Gateway) OnCall(ctx context.Context, _ ident.NodeID, body []byte) []byte {
+	switch c, err := wire.DecodeCall(body, g.Limits.CallBytes()); {
+	case err != nil:
+		return encode(wire.Answer{Response: &wire.Response{Verdict: result.NotRun, Reason: reasonMalformed}})
+	case c.Void != nil:
+		return g.void(ctx, c.Void)
+	default:
+		resp, kept := g.forward(ctx, c.Request, !c.Request.Idempotent)
+		if kept != nil {
+			return kept
+		}
+		return encode(wire.Answer{Response: resp})
+	}
+}
+
+// Forward admits a call of this node's own ingress, sends it to the target once
+// and returns the outcome. The caller must not change r any more.
+func (g *Gateway) Forward(ctx context.Context, r *wire.Request) *wire.Response {
+	resp, _ := g.forward(ctx, r, false)
+	return resp
+}
+
+// forward runs one call. It returns the response, or in place of it the encoded
+// answer that is kept under the same id.
+func (g *Gateway) forward(ctx context.Context, r *wire.Request, keep bool) (*wire.Response, []byte) {
+	now := g.Clock.Now()
+	deadline := now + r.RemainingMillis
+	c := &gateCall{request: r, decided: make(chan admit.Action, 1), ended: make(chan struct{})}
+	t, resp, kept := g.arrive(now, deadline, c)
+	if t == nil {
+		return resp, kept
+	}
+	var a admit.Action
+	select {
+	case a = <-c.decided:
+	case <-ctx.Done():
+		g.cancel(r.ID)
+		a = <-c.decided
+	}
+	started := g.Clock.Now()
+	if a.Kind == admit.Refuse {
+		resp = &wire.Response{Verdict: result.NotRun, Reason: a.Reason}
+		return resp, g.end(c, resp, started, 0, false)
+	}
+	resp, err := t.call(ctx, started, deadline, r)
+	if err != nil {
+		resp = &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
+	}
+	ended := g.Clock.Now()
+	return resp, g.end(c, resp, ended, ended-started, keep)
+}
+
+// arrive checks the call's address, records it at the fence and asks the gate
+// for a slot. It returns the target, or else the response or the kept answer to
+// a call that never gets to the gate.
+func (g *Gateway) arrive(now, deadline clock.Millis, c *gateCall) (*target, *wire.Response, []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := c.request
+	switch {
+	case g.target == nil:
+		return nil, g.refuse(now, r, result.NotRun, reasonNoTarget), nil
+	case r.Target != g.target.id:
+		return nil, g.refuse(now, r, result.NotRun, reasonOtherTarget), nil
+	}
+	a := g.fence.Arrive(now, r.Gate, r.ID)
+	switch a.Kind {
+	case once.Refuse:
+		return nil, g.refuse(now, r, a.Verdict, a.Reason), nil
+	case once.Replay:
+		g.record(now, r, a.Verdict, a.Reason)
+		return nil, nil, a.Response
+	}
+	g.calls[r.ID] = c
+	g.apply(now, g.gate.Arrive(now, admit.Call{ID: r.ID, Class: r.Class, Deadline: deadline}))
+	return g.target, nil, nil
+}
+
+// refuse answers a call that does not get to the gate. The caller holds mu.
+func (g *Gateway) refuse(now clock.Millis, r *wire.Request, v result.Verdict, reason string) *wire.Response {
+	g.record(now, r, v, reason)
+	return &wire.Response{Verdict: v, Reason: reason, Load: g.gate.Load()}
+}
+
+// cancel withdraws a call that may still wait.
+func (g *Gateway) cancel(id ident.RequestID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.apply(now, g.gate.Cancel(now, id))
+}
+
+// end frees the slot of a started call and tells the fence the outcome. It
+// returns the encoded answer if that is kept.
+func (g *Gateway) end(c *gateCall, resp *wire.Response, now, took clock.Millis, keep bool) []byte {
+	id := c.request.ID
+	g.mu.Lock()
+	g.apply(now, g.gate.Finish(now, id, took))
+	resp.Load = g.gate.Load()
+	var kept []byte
+	if keep && resp.Verdict == result.Ran {
+		// The slot is free for others while the answer is encoded.
+		g.mu.Unlock()
+		kept = encode(wire.Answer{Response: resp})
+		g.mu.Lock()
+	}
+	g.fence.Finish(now, id, resp.Verdict, kept)
+	delete(g.calls, id)
+	close(c.ended)
+	g.mu.Unlock()
+	g.metrics.verdicts[resp.Verdict].Inc()
+	if took > 0 {
+		g.metrics.run.Observe(took.Duration().Seconds())
+	}
+	return kept
+}
+
+// void makes sure that an attempt never runs, or tells what became of it. It
+// waits for a running one, since its outcome is worth more than an unknown one.
+// The answer is encoded, because a kept one is.
+func (g *Gateway) void(ctx context.Context, v *wire.Void) []byte {
+	c, answer := g.beginVoid(v)
+	if c == nil {
+		return answer
+	}
+	timer := time.NewTimer(v.RemainingMillis.Duration())
+	defer timer.Stop()
+	select {
+	case <-c.ended:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.outcome(g.Clock.Now(), v)
+}
+
+// beginVoid records the void. It returns the call that is still at the gate, or
+// else the answer.
+func (g *Gateway) beginVoid(v *wire.Void) (*gateCall, []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.metrics.voids.Inc()
+	now := g.Clock.Now()
+	answer := g.outcome(now, v)
+	c := g.calls[v.ID]
+	if c == nil || v.Gate != g.Incarnation {
+		return nil, answer
+	}
+	// A call that waits is refused now; one that runs is not affected.
+	g.apply(now, g.gate.Cancel(now, v.ID))
+	return c, nil
+}
+
+// outcome voids an attempt that was not seen and returns the encoded answer.
+// The caller holds mu.
+func (g *Gateway) outcome(now clock.Millis, v *wire.Void) []byte {
+	a := g.fence.Void(now, v.Gate, v.ID)
+	g.Log.Record(logs.Decision{At: now, Kind: logs.Admit, Request: v.ID, Node: g.Self, Verdict: a.Verdict, Reason: a.Reason})
+	if a.Kind == once.Replay {
+		return a.Response
+	}
+	return encode(wire.Answer{Voided: &wire.Voided{Verdict: a.Verdict, Reason: a.Reason}})
+}
+
+// apply hands the gate's actions to the calls. The caller holds mu.
+func (g *Gateway) apply(now clock.Millis, actions []admit.Action) {
+	for _, a := range actions {
+		if a.Kind == admit.Drained {
+			if g.drained != nil {
+				close(g.drained)
+			}
+			continue
+		}
+		c := g.calls[a.ID]
+		v := result.MayHaveRun
+		if a.Kind == admit.Refuse {
+			v = result.NotRun
+			g.metrics.refused[c.request.Class].Inc()
+		} else {
+			g.metrics.started[c.request.Class].Inc()
+		}
+		g.record(now, c.request, v, a.Reason)
+		c.decided <- a
+	}
+}
+
+// record writes a line to the decision log.
+func (g *Gateway) record(now clock.Millis, r *wire.Request, v result.Verdict, reason string) {
+	g.Log.Record(logs.Decision{
+		At: now, Kind: logs.Admit, Request: r.ID, Route: r.Route, Target: r.Target,
+		Node: g.Self, Verdict: v, Attempt: r.Attempt, Reason: reason,
+	})
+}
+
+// encode returns a message in CBOR.
+func encode[T any](m T) []byte {
+	body, err := wire.Encode(m)
+	if err != nil {
+		panic(err) // every field of a call or answer has an encoding
+	}
+	return body
+}
--- /dev/null
+++ b/io/proxy/limits.go
@@ -0,0 +1,50 @@
+// Package proxy provides the data path of a node: the ingress that callers use
+// and the gateway in front of the local target.
+package proxy
+
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// DefaultBodyBytes bounds the body of a request or response.
+	DefaultBodyBytes ident.Bytes = 1 << 20
+	// DefaultHeaderBytes bounds the request line and header of a request, and
+	// the status line and header of a response.
+	DefaultHeaderBytes ident.Bytes = 16 << 10
+)
+
+// Reasons that both sides of the data path use.
+const (
+	reasonDeadline  = "deadline passed"
+	reasonDraining  = "node is draining"
+	reasonMalformed = "message is malformed"
+)
+
+// Limits bounds requests and responses. A zero field takes its default.
+type Limits struct {
+	BodyBytes   ident.Bytes
+	HeaderBytes ident.Bytes
+}
+
+// withDefaults returns l with its zero fields set.
+func (l Limits) withDefaults() Limits {
+	orDefault(&l.BodyBytes, DefaultBodyBytes)
+	orDefault(&l.HeaderBytes, DefaultHeaderBytes)
+	return l
+}
+
+// CallBytes returns the largest size of a call or answer between nodes.
+func (l Limits) CallBytes() int {
+	l = l.withDefaults()
+	return int(l.BodyBytes) + int(l.HeaderBytes) + wire.CallOverheadBytes
+}
+
+// orDefault sets v if it is not positive.
+func orDefault[T int | ident.Bytes | clock.Millis](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/io/proxy/target.go
@@ -0,0 +1,292 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/result"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// dialMillis bounds a connect to the local target; a new connection takes
+	// about 1 ms.
+	dialMillis = 500 * clock.Millis(1)
+	// maxInterim bounds the interim (1xx) responses before the final one.
+	maxInterim = 8
+	// chunked and identity are the values of ContentLength without a length.
+	chunked, identity = -1, -2
+	// idleMillis is the age at which an idle connection to the target is closed.
+	idleMillis = 30 * clock.Second
+)
+
+// Reasons of a call to the target.
+const (
+	reasonNoConnection = "no connection to the target"
+	reasonNoBytes      = "connection to the target failed before the first byte"
+	reasonTargetLost   = "connection to the target was lost"
+	reasonNoLength     = "target's answer has no length"
+	reasonAnswerSize   = "target's answer is too large"
+	reasonGaveUp       = "caller gave up"
+)
+
+type (
+	// target is the HTTP client of the local target. It sends each request once:
+	// it uses a HostClient for its connection pool and never its Do method,
+	// which repeats requests on its own.
+	target struct {
+		id      ident.TargetID
+		address string
+		limits  Limits
+		client  *fasthttp.HostClient
+	}
+
+	// targetConn counts the bytes that the kernel took for the current request.
+	targetConn struct {
+		net.Conn
+		raw  syscall.RawConn
+		sent int
+	}
+
+	// exchange is one request on one connection.
+	exchange struct {
+		conn  *targetConn
+		req   *fasthttp.Request
+		resp  *fasthttp.Response
+		until time.Time
+	}
+)
+
+var (
+	// errPipe reports a connection that is not a TCP connection.
+	errPipe = errors.New("connection to the target is not TCP")
+	// errNoLength reports an answer that ends with its connection.
+	errNoLength = errors.New("answer has neither a length nor chunks")
+	// errInterim reports an answer that never becomes final.
+	errInterim = errors.New("answer has too many or unusable interim responses")
+)
+
+// newTarget returns the client of the target at address.
+func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits) *target {
+	t := &target{id: id, address: address, limits: limits}
+	t.client = &fasthttp.HostClient{
+		Addr:        address,
+		DialTimeout: dialTarget,
+		MaxConns:    int(connections),
+		// Neither setting is in use while Do is not called.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       idleMillis.Duration(),
+		// The most recent connection is the least likely to be stale.
+		ConnPoolStrategy:         fasthttp.LIFO,
+		ReadBufferSize:           int(limits.HeaderBytes),
+		MaxResponseBodySize:      int(limits.BodyBytes),
+		NoDefaultUserAgentHeader: true,
+	}
+	return t
+}
+
+// dialTarget connects to the target.
+func dialTarget(address string, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: min(dialMillis.Duration(), timeout)}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		_ = c.Close()
+		return nil, errPipe
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return &targetConn{Conn: c, raw: raw}, nil
+}
+
+// Write counts the bytes that were handed to the kernel.
+func (c *targetConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent += n
+	return n, err
+}
+
+// stale reports whether the peer closed the idle connection or sent bytes that
+// belong to no request, which would become the answer to the next one.
+func (c *targetConn) stale() bool {
+	stale := true
+	var b [1]byte
+	err := c.raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		stale = !errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return stale || err != nil
+}
+
+// call sends r once and returns the target's complete answer or a *result.Error.
+// A done ctx ends it if r is idempotent; otherwise the answer is awaited until
+// the deadline, because a cut would lose the outcome of an action that runs.
+func (t *target) call(ctx context.Context, now, deadline clock.Millis, r *wire.Request) (*wire.Response, error) {
+	left := (deadline - now).Duration()
+	if left <= 0 {
+		return nil, result.NewError(result.NotRun, reasonDeadline, nil)
+	}
+	until := time.Now().Add(left)
+	for {
+		cc, err := t.client.AcquireConn(left, false)
+		if err != nil {
+			return nil, result.NewError(result.NotRun, reasonNoConnection, err)
+		}
+		conn, ok := cc.Conn().(*targetConn)
+		if !ok {
+			t.client.CloseConn(cc)
+			return nil, result.NewError(result.NotRun, reasonNoConnection, errPipe)
+		}
+		conn.sent = 0
+		if conn.SetDeadline(until) != nil || conn.stale() {
+			// Nothing was sent, so another connection can be used.
+			t.client.CloseConn(cc)
+			continue
+		}
+		resp, reusable, err := t.exchange(ctx, conn, r, until)
+		if reusable {
+			t.client.ReleaseConn(cc)
+		} else {
+			t.client.CloseConn(cc)
+		}
+		return resp, err
+	}
+}
+
+// exchange sends r on conn and reads the answer. It reports whether the
+// connection can carry another request.
+func (t *target) exchange(ctx context.Context, conn *targetConn, r *wire.Request, until time.Time) (*wire.Response, bool, error) {
+	x := exchange{conn: conn, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), until: until}
+	defer fasthttp.ReleaseRequest(x.req)
+	defer fasthttp.ReleaseResponse(x.resp)
+	stop := func() bool { return true }
+	if r.Idempotent {
+		stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	}
+	clean, err := t.roundTrip(&x, r)
+	// A stop that comes too late leaves a deadline on the connection.
+	clean = stop() && clean
+	if err != nil {
+		return nil, false, x.verdict(ctx, err)
+	}
+	// The pooled response is copied before it is released.
+	resp := &wire.Response{
+		Verdict: result.Ran, Status: x.resp.StatusCode(),
+		Headers: copyHeaders(x.resp.Header.All(), x.resp.Header.Peek("Connection")),
+		Body:    bytes.Clone(x.resp.Body()),
+	}
+	if x.resp.SkipBody {
+		resp.ContentLength = max(x.resp.Header.ContentLength(), 0)
+	}
+	return resp, clean && !x.resp.ConnectionClose(), nil
+}
+
+// roundTrip writes the request and reads the answer. It reports whether the
+// answer was followed by nothing else.
+func (t *target) roundTrip(x *exchange, r *wire.Request) (bool, error) {
+	fill(x.req, r, time.Until(x.until))
+	w := t.client.AcquireWriter(x.conn)
+	err := x.req.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	t.client.ReleaseWriter(w)
+	if err != nil {
+		return false, err
+	}
+	b := t.client.AcquireReader(x.conn)
+	defer t.client.ReleaseReader(b)
+	x.resp.SkipBody = r.Method == fasthttp.MethodHead
+	err = x.read(b, int(t.limits.BodyBytes))
+	return err == nil && b.Buffered() == 0, err
+}
+
+// read reads the final response. A body that ends with the connection is
+// refused, since it looks complete when it was cut.
+func (x *exchange) read(b *bufio.Reader, limit int) error {
+	h := &x.resp.Header
+	for interim := 0; ; interim++ {
+		if err := h.Read(b); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+		if h.StatusCode() == fasthttp.StatusSwitchingProtocols || interim == maxInterim {
+			return errInterim
+		}
+	}
+	length := h.ContentLength()
+	if x.resp.SkipBody || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
+		return nil
+	}
+	if length == identity {
+		return errNoLength
+	}
+	if err := x.resp.ReadBody(b, limit); err != nil {
+		return err
+	}
+	if length == chunked {
+		return h.ReadTrailer(b)
+	}
+	return nil
+}
+
+// fill sets the HTTP request that r describes.
+func fill(req *fasthttp.Request, r *wire.Request, left time.Duration) {
+	req.Header.SetMethod(r.Method)
+	req.Header.SetRequestURIBytes(r.URI)
+	for i := range r.Headers {
+		req.Header.AddBytesV(r.Headers[i].Name, r.Headers[i].Value)
+	}
+	if len(req.Header.Host()) == 0 {
+		req.Header.SetHost("target")
+	}
+	req.Header.Set(headerRequest, string(r.ID))
+	req.Header.Set(headerTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	req.SetBodyRaw(r.Body)
+}
+
+// verdict returns the error of a failed exchange. Without a single byte sent,
+// the target cannot have run the request. After that, even a connection that
+// was closed while idle gives MayHaveRun: the target may have read the request
+// before it closed.
+func (x *exchange) verdict(ctx context.Context, err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case x.conn.sent == 0:
+		return result.NewError(result.NotRun, reasonNoBytes, err)
+	case !time.Now().Before(x.until):
+		return result.NewError(result.MayHaveRun, reasonDeadline, err)
+	case ctx.Err() != nil:
+		return result.NewError(result.MayHaveRun, reasonGaveUp, err)
+	case errors.Is(err, errNoLength):
+		return result.NewError(result.MayHaveRun, reasonNoLength, err)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+		return result.NewError(result.MayHaveRun, reasonAnswerSize, err)
+	}
+	return result.NewError(result.MayHaveRun, reasonTargetLost, err)
+}
+
+// close closes the idle connections.
+func (t *target) close() {
+	t.client.CloseIdleConnections()
+}
