io/proxy: add the ingress for callers

Cause: callers need one HTTP address that routes, retries and voids. Change: Ingress copies each request out of fasthttp's memory, routes it by the current view, sends attempts to gates and answers with a verdict. A lost attempt of an action is voided on a fresh connection. A path that matches another route once it is normalized is refused with 400, since retry rules differ between routes. RemainingMillis shrinks by 2 ms (at most a tenth) per hop, so that a refusal at the deadline reaches the caller. After a refused oversized request, the connection reads the rest before it closes, because a reset can overtake the answer. Conclusion: TestRequestReachesTarget, TestLostConnectionIsVoided, TestDuplicateDeliveryRunsOnce, TestDyingTargetMayHaveRun, TestStaleConnectionSendsOnce and TestLimits pass.

--- /dev/null
+++ b/io/proxy/forward.go
@@ -0,0 +1,326 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/view"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// hopMillis is kept back at each hop, so that a gate's refusal at the
+	// deadline reaches the caller in time.
+	hopMillis = 2 * clock.Millis(1)
+	// hopShare bounds hopMillis as a share of the remaining time.
+	hopShare = 0.1
+)
+
+// Reasons of an attempt.
+const (
+	reasonNoPeers = "node has no transport"
+	reasonVoid    = "attempt was voided on a fresh connection"
+)
+
+type (
+	// call is one request of a caller. It owns its memory.
+	call struct {
+		view     *view.View
+		route    model.Route
+		deadline clock.Millis
+		id       string
+		// request is the template of the attempts.
+		request wire.Request
+
+		// state is what the policy decides on.
+		state retry.Attempt
+		// tried holds the targets that were chosen so far.
+		tried []ident.TargetID
+	}
+
+	// hedge is a second attempt beside a slow one.
+	hedge struct {
+		mu sync.Mutex
+		// closed says that the first attempt has ended, so none is started.
+		closed  bool
+		started bool
+		// stop cancels the hedge once it has started.
+		stop context.CancelFunc
+		// result gets the hedge's one outcome.
+		result chan *wire.Response
+	}
+)
+
+// forward makes attempts until the policy ends the call.
+func (in *Ingress) forward(c *call) *wire.Response {
+	c.state = retry.Attempt{Route: c.route, Deadline: c.deadline}
+	now := in.Clock.Now()
+	in.mu.Lock()
+	in.Policy.Budget.Call(now)
+	in.mu.Unlock()
+	for {
+		choice, ok := in.pick(c)
+		if !ok {
+			v := result.NotRun
+			if c.state.Uncertain {
+				v = result.MayHaveRun
+			}
+			return &wire.Response{Verdict: v, Reason: choice.Reason}
+		}
+		resp := in.try(c, choice)
+		d := in.decide(c, resp)
+		if d.Kind != retry.Retry {
+			if resp.Verdict != result.Ran {
+				resp = &wire.Response{Verdict: d.Verdict, Reason: resp.Reason, Load: resp.Load}
+			}
+			return resp
+		}
+		in.metrics.retries.Inc()
+		time.Sleep((d.At - in.Clock.Now()).Duration())
+	}
+}
+
+// pick chooses the target of the next attempt, one that was not tried if there
+// is any.
+func (in *Ingress) pick(c *call) (route.Choice, bool) {
+	now := in.Clock.Now()
+	in.mu.Lock()
+	choice, ok := in.Picker.Pick(now, c.route.Service, c.tried)
+	if !ok && len(c.tried) > 0 {
+		choice, ok = in.Picker.Pick(now, c.route.Service, nil)
+	}
+	in.drainEvents()
+	in.mu.Unlock()
+	v := result.MayHaveRun
+	if !ok {
+		v = result.NotRun
+	}
+	in.record(logs.Route, now, c, c.state.Sent+1, choice.Target.ID, v, choice.Reason)
+	return choice, ok
+}
+
+// decide asks the policy what follows from an attempt.
+func (in *Ingress) decide(c *call, resp *wire.Response) retry.Decision {
+	now := in.Clock.Now()
+	if resp.Verdict == result.MayHaveRun {
+		c.state.Uncertain = true
+	}
+	in.mu.Lock()
+	d := in.Policy.Decide(now, c.state, resp.Verdict)
+	in.mu.Unlock()
+	if resp.Verdict != result.Ran {
+		in.record(logs.Retry, now, c, c.state.Sent, "", resp.Verdict, d.Reason)
+	}
+	return d
+}
+
+// try makes one attempt, with a hedge beside it if the route allows one.
+func (in *Ingress) try(c *call, choice route.Choice) *wire.Response {
+	now := in.Clock.Now()
+	c.state.Sent++
+	c.state.SentAt = now
+	c.state.Outstanding = 1
+	defer func() { c.state.Outstanding = 0 }()
+	c.tried = append(c.tried, choice.Target.ID)
+	in.mu.Lock()
+	at, ok := in.Policy.HedgeAt(c.state, in.Picker.Delay95(c.route.Service))
+	in.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), (c.deadline - now).Duration())
+	defer cancel()
+	if !ok {
+		return in.attempt(ctx, c, choice, c.state.Sent)
+	}
+	return in.tryHedged(ctx, cancel, c, choice, at)
+}
+
+// tryHedged makes an attempt and, if it is slow, a second one. The first answer
+// wins and cancels the other attempt.
+func (in *Ingress) tryHedged(ctx context.Context, cancel context.CancelFunc, c *call, choice route.Choice, at clock.Millis) *wire.Response {
+	h := &hedge{result: make(chan *wire.Response, 1)}
+	sent := c.state.Sent
+	timer := time.AfterFunc((at - in.Clock.Now()).Duration(), func() { in.startHedge(c, h, cancel, sent+1) })
+	resp := in.attempt(ctx, c, choice, sent)
+	timer.Stop()
+	h.mu.Lock()
+	h.closed = true
+	started := h.started
+	h.mu.Unlock()
+	if !started {
+		return resp
+	}
+	c.state.Sent++
+	if resp.Verdict == result.Ran {
+		h.stop()
+		return resp
+	}
+	other := <-h.result
+	h.stop()
+	if other.Verdict == result.Ran || other.Verdict == result.MayHaveRun {
+		return other
+	}
+	return resp
+}
+
+// startHedge starts the second attempt unless the first has ended, the policy
+// refuses or there is no other target.
+func (in *Ingress) startHedge(c *call, h *hedge, cancelFirst context.CancelFunc, number int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	now := in.Clock.Now()
+	in.mu.Lock()
+	d := in.Policy.Hedge(now, c.state)
+	var choice route.Choice
+	ok := d.Kind == retry.Hedge
+	if ok {
+		if choice, ok = in.Picker.Pick(now, c.route.Service, c.tried); !ok {
+			in.Policy.Budget.Return()
+		}
+	}
+	in.mu.Unlock()
+	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
+	if !ok {
+		return
+	}
+	in.metrics.hedges.Inc()
+	ctx, stop := context.WithTimeout(context.Background(), (c.deadline - now).Duration())
+	h.started, h.stop = true, stop
+	in.group.Go(func() {
+		resp := in.attempt(ctx, c, choice, number)
+		h.result <- resp
+		if resp.Verdict == result.Ran {
+			cancelFirst()
+		}
+	})
+}
+
+// attempt sends one attempt to the chosen gate and reports its outcome to the
+// picker.
+func (in *Ingress) attempt(ctx context.Context, c *call, choice route.Choice, number int) *wire.Response {
+	in.metrics.attempts.Inc()
+	sent := in.Clock.Now()
+	r := c.request
+	r.ID = ident.RequestID(c.id + "-" + strconv.Itoa(number))
+	r.Gate, r.Target, r.Attempt = choice.Target.Gate, choice.Target.ID, number
+	left := c.deadline - sent
+	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
+	var resp *wire.Response
+	var err error
+	if choice.Target.Node == in.Self && in.Gateway != nil {
+		resp = in.Gateway.Forward(ctx, &r)
+	} else {
+		resp, err = in.send(ctx, choice.Target, &r)
+	}
+	now := in.Clock.Now()
+	o := route.Outcome{Delay: now - sent, Gate: choice.Target.Gate}
+	if err != nil {
+		// A call that this node gave up says nothing about its target.
+		o.Failed = ctx.Err() == nil || now >= c.deadline
+		resp = in.failed(c, choice.Target, &r, err)
+	} else {
+		o.Failed = failedAtTarget(resp)
+		o.Load, o.HasLoad = resp.Load, true
+	}
+	o.Verdict = resp.Verdict
+	in.mu.Lock()
+	in.Picker.Done(now, choice.Target.ID, o)
+	in.drainEvents()
+	in.mu.Unlock()
+	return resp
+}
+
+// send sends an attempt to another node.
+func (in *Ingress) send(ctx context.Context, t view.Target, r *wire.Request) (*wire.Response, error) {
+	if in.Peers == nil {
+		return nil, result.NewError(result.NotRun, reasonNoPeers, nil)
+	}
+	body, err := in.Peers.Call(ctx, t.Node, t.Address, encode(wire.Call{Request: r}))
+	if err != nil {
+		return nil, err
+	}
+	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
+	if err != nil || a.Response == nil {
+		return nil, result.NewError(result.MayHaveRun, reasonMalformed, err)
+	}
+	return a.Response, nil
+}
+
+// failed returns the outcome of an attempt that got no answer from its gate. An
+// action that may have run is voided on a fresh connection while there is time.
+func (in *Ingress) failed(c *call, t view.Target, r *wire.Request, err error) *wire.Response {
+	resp := &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
+	now := in.Clock.Now()
+	if resp.Verdict == result.NotRun {
+		return resp
+	}
+	resp.Verdict = result.MayHaveRun
+	if now >= c.deadline {
+		resp.Reason = reasonDeadline
+		return resp
+	}
+	if r.Idempotent {
+		return resp
+	}
+	in.metrics.voids.Inc()
+	left := c.deadline - now
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	v := wire.Void{ID: r.ID, Gate: r.Gate, RemainingMillis: max(left-min(hopMillis, left*hopShare), 0)}
+	body, err := in.Peers.CallFresh(ctx, t.Node, t.Address, encode(wire.Call{Void: &v}))
+	if err != nil {
+		return resp
+	}
+	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
+	switch {
+	case err != nil:
+		return resp
+	case a.Response != nil:
+		return a.Response
+	case a.Voided.Verdict == result.NotRun:
+		in.record(logs.Retry, in.Clock.Now(), c, r.Attempt, t.ID, result.NotRun, reasonVoid)
+		resp.Verdict = result.NotRun
+	}
+	return resp
+}
+
+// failedAtTarget reports whether a gate's response is evidence against its
+// target. A refusal by a full or draining gate is not.
+func failedAtTarget(resp *wire.Response) bool {
+	switch resp.Verdict {
+	case result.Ran:
+		return resp.Status >= 500
+	case result.NotRun:
+		return resp.Reason == reasonNoConnection || resp.Reason == reasonNoBytes
+	}
+	return resp.Reason != reasonGaveUp
+}
+
+// drainEvents writes the picker's ejections to the decision log. The caller
+// holds mu.
+func (in *Ingress) drainEvents() {
+	in.events = in.Picker.Events(in.events[:0])
+	for _, e := range in.events {
+		in.Log.Record(logs.Decision{
+			At: e.At, Kind: logs.Eject, Service: e.Service, Target: e.Target, Node: in.Self, Reason: e.Reason,
+		})
+	}
+}
+
+// record writes a line to the decision log.
+func (in *Ingress) record(k logs.Kind, now clock.Millis, c *call, number int, target ident.TargetID, v result.Verdict, reason string) {
+	in.Log.Record(logs.Decision{
+		At: now, Kind: k, Request: ident.RequestID(c.id), Route: c.route.Name, Service: c.route.Service,
+		Target: target, Node: in.Self, Version: c.view.Version(), Verdict: v, Attempt: number, Reason: reason,
+	})
+}
--- /dev/null
+++ b/io/proxy/ingress.go
@@ -0,0 +1,373 @@
+package proxy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/view"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/plat"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// DefaultLingerMillis is how long a draining ingress waits for callers to
+	// use their open connections once more and learn that they are closing.
+	DefaultLingerMillis = 2 * clock.Second
+	// readMillis bounds the arrival of one request, and the writing of one
+	// response.
+	readMillis = 30 * clock.Second
+	// idleCallerMillis is the age at which an idle caller's connection closes.
+	idleCallerMillis = clock.Minute
+	// drainPollMillis is the interval at which a drain looks for open
+	// connections.
+	drainPollMillis = 2 * clock.Millis(1)
+)
+
+// Reasons of the ingress.
+const (
+	reasonNoView    = "node has no configuration yet"
+	reasonNoRoute   = "no route for the path"
+	reasonPath      = "path is ambiguous"
+	reasonTimeout   = "Request-Timeout-Millis is not a positive number"
+	reasonRequest   = "request is malformed"
+	reasonBody      = "request body is too large"
+	reasonHeader    = "request header is too large"
+	reasonSlowBody  = "request did not arrive in time"
+	reasonKeyLength = "Idempotency-Key is not 1 to 255 bytes"
+	reasonNoStore   = "node has no store for idempotency keys"
+)
+
+type (
+	// Peers sends calls to other nodes. Errors are *result.Error.
+	Peers interface {
+		// Call returns the whole answer to body.
+		Call(ctx context.Context, to ident.NodeID, address string, body []byte) ([]byte, error)
+		// CallFresh does the same on a new connection.
+		CallFresh(ctx context.Context, to ident.NodeID, address string, body []byte) ([]byte, error)
+	}
+
+	// Ingress is the HTTP server for callers. It routes each request by the
+	// current view, sends attempts to gates and answers with a verdict. Set the
+	// exported fields before Open.
+	Ingress struct {
+		Self ident.NodeID
+		// Listen is host:port; port 0 chooses a free one.
+		Listen string
+		Clock  clock.Clock
+		Peers  Peers
+		// Gateway is this node's own, or nil.
+		Gateway *Gateway
+		// Picker and Policy are required; the ingress serializes their calls.
+		Picker *route.Picker
+		Policy *retry.Policy
+		// Store holds idempotency keys. Without one, requests with a key are
+		// refused.
+		Store  plat.Store
+		Limits Limits
+		// StoreMillis bounds the claim of an idempotency key; 0 means the default
+		// of once.Claim.
+		StoreMillis clock.Millis
+		// LingerMillis bounds how long a drain waits for idle connections.
+		LingerMillis clock.Millis
+		// Log takes routing and retry decisions; nil discards them.
+		Log logs.Sink
+		// Registry takes the metrics; nil keeps them private.
+		Registry prometheus.Registerer
+
+		metrics  ingressMetrics
+		server   *fasthttp.Server
+		listener net.Listener
+		view     atomic.Pointer[view.View]
+		// prefix and sequence make request ids unique.
+		prefix   string
+		sequence atomic.Uint64
+		draining atomic.Bool
+		// inFlight counts handlers that have not returned.
+		inFlight atomic.Int64
+		// group holds hedges and stores of outcomes, which outlive their handler.
+		group conc.WaitGroup
+
+		// mu guards Picker, Policy and events; it is never held while waiting.
+		mu     sync.Mutex
+		events []route.Event
+	}
+)
+
+// errIngress reports an ingress without its required fields.
+var errIngress = errors.New("ingress needs Clock, Picker and Policy")
+
+// Open binds the listener and registers the metrics.
+func (in *Ingress) Open() error {
+	if in.Clock == nil || in.Picker == nil || in.Policy == nil {
+		return errIngress
+	}
+	if in.Log == nil {
+		in.Log = logs.Discard{}
+	}
+	in.Limits = in.Limits.withDefaults()
+	orDefault(&in.LingerMillis, DefaultLingerMillis)
+	var life [8]byte
+	if _, err := rand.Read(life[:]); err != nil {
+		return err
+	}
+	in.prefix = string(in.Self) + "." + hex.EncodeToString(life[:]) + "."
+	if err := in.metrics.open(in.Registry); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", in.Listen)
+	if err != nil {
+		return err
+	}
+	in.listener = lingerListener{listener}
+	in.server = &fasthttp.Server{
+		Handler:                      in.handle,
+		ErrorHandler:                 in.malformed,
+		ReadBufferSize:               int(in.Limits.HeaderBytes),
+		MaxRequestBodySize:           int(in.Limits.BodyBytes),
+		ReadTimeout:                  readMillis.Duration(),
+		WriteTimeout:                 readMillis.Duration(),
+		IdleTimeout:                  idleCallerMillis.Duration(),
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		Logger:                       quiet{},
+	}
+	return nil
+}
+
+// Address returns the address of the listener.
+func (in *Ingress) Address() string {
+	return in.listener.Addr().String()
+}
+
+// SetView puts a view in force for new requests.
+func (in *Ingress) SetView(v *view.View) {
+	in.mu.Lock()
+	in.Picker.SetView(in.Clock.Now(), v)
+	in.mu.Unlock()
+	in.view.Store(v)
+}
+
+// Run serves until ctx ends, and then closes at once; Drain goes before it for a
+// stop that interrupts no request.
+func (in *Ingress) Run(ctx context.Context) error {
+	var group conc.WaitGroup
+	served := make(chan error, 1)
+	group.Go(func() { served <- in.server.Serve(in.listener) })
+	defer group.Wait()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// An ended context closes the listener without waiting for connections.
+	if err := in.server.ShutdownWithContext(ended); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return <-served
+}
+
+// Drain answers new requests as not run and closes their connections, finishes
+// the requests in flight and then stops the server. Callers with an open
+// connection get LingerMillis to use it once more; closing it earlier could
+// cross with a request whose caller would not learn its fate.
+func (in *Ingress) Drain(ctx context.Context) error {
+	in.draining.Store(true)
+	t := time.NewTicker(drainPollMillis.Duration())
+	defer t.Stop()
+	linger := time.Now().Add(in.LingerMillis.Duration())
+	for in.inFlight.Load() > 0 || in.server.GetOpenConnectionsCount() > 0 && time.Now().Before(linger) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	err := in.server.ShutdownWithContext(ctx)
+	in.group.Wait()
+	return err
+}
+
+// handle answers one request. Everything that attempts need is copied out of
+// ctx, because fasthttp reuses its memory once handle returns.
+func (in *Ingress) handle(ctx *fasthttp.RequestCtx) {
+	in.inFlight.Add(1)
+	defer in.inFlight.Add(-1)
+	now := in.Clock.Now()
+	if in.draining.Load() {
+		in.reply(ctx, notRun(reasonDraining), now)
+		return
+	}
+	c, refusal := in.newCall(ctx, now)
+	if refusal != nil {
+		in.reply(ctx, refusal, now)
+		return
+	}
+	key := ctx.Request.Header.Peek(headerKey)
+	if c.route.Idempotent || len(key) == 0 {
+		in.reply(ctx, in.forward(c), now)
+		return
+	}
+	in.reply(ctx, in.keyed(c, string(ctx.Request.Header.Peek(headerCaller)), string(key)), now)
+}
+
+// newCall routes a request and copies it. It returns the refusal of a request
+// that cannot be routed.
+func (in *Ingress) newCall(ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
+	v := in.view.Load()
+	if v == nil {
+		return nil, notRun(reasonNoView)
+	}
+	r, uri, refusal := routeOf(v, ctx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	timeout, ok := timeoutOf(ctx.Request.Header.Peek(headerTimeout), r.TimeoutMillis)
+	if !ok {
+		return nil, notRun(reasonTimeout)
+	}
+	if len(ctx.Request.Header.Peek(headerKey)) > maxKeyBytes {
+		return nil, notRun(reasonKeyLength)
+	}
+	h := &ctx.Request.Header
+	c := &call{
+		view: v, route: r, deadline: now + timeout, id: in.nextID(),
+		request: wire.Request{
+			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
+			Method: string(h.Method()), URI: append([]byte(nil), uri...),
+			Headers: copyHeaders(h.All(), h.Peek("Connection")),
+			Body:    append([]byte(nil), ctx.Request.Body()...),
+		},
+	}
+	switch {
+	case len(c.request.Headers) > wire.MaxCallHeaders:
+		return nil, notRun(reasonHeader)
+	case !c.request.Forwardable():
+		return nil, notRun(reasonRequest)
+	}
+	return c, nil
+}
+
+// routeOf returns the route and the URI to forward. A path that another route
+// matches once it is normalized is refused: the target could take it for the
+// other one, whose rules on retries differ.
+func routeOf(v *view.View, ctx *fasthttp.RequestCtx) (model.Route, []byte, *wire.Response) {
+	uri := ctx.Request.Header.RequestURI()
+	if len(uri) == 0 || uri[0] != '/' {
+		uri = ctx.URI().RequestURI() // absolute form
+	}
+	path, normal := string(pathOf(uri)), string(ctx.Path())
+	r, ok := v.Route(path)
+	if path != normal {
+		if other, found := v.Route(normal); found != ok || other.Name != r.Name {
+			return model.Route{}, nil, notRun(reasonPath)
+		}
+	}
+	if !ok {
+		return model.Route{}, nil, notRun(reasonNoRoute)
+	}
+	return r, uri, nil
+}
+
+// pathOf returns the path of an origin-form URI.
+func pathOf(uri []byte) []byte {
+	for i, c := range uri {
+		if c == '?' || c == '#' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+// timeoutOf returns the smaller of the caller's and the route's timeout. It
+// returns false for a header that is not a positive number.
+func timeoutOf(header []byte, limit clock.Millis) (clock.Millis, bool) {
+	if len(header) == 0 {
+		return limit, true
+	}
+	millis, err := strconv.ParseFloat(string(header), 64)
+	if err != nil || !(millis > 0) {
+		return 0, false
+	}
+	return min(clock.Millis(millis), limit), true
+}
+
+// nextID returns an id that no other request of any node has.
+func (in *Ingress) nextID() string {
+	return in.prefix + strconv.FormatUint(in.sequence.Add(1), 36)
+}
+
+// reply writes the outcome. The body belongs to resp, which is never reused.
+func (in *Ingress) reply(ctx *fasthttp.RequestCtx, resp *wire.Response, arrived clock.Millis) {
+	h := &ctx.Response.Header
+	if resp.Verdict == result.Ran {
+		ctx.SetStatusCode(resp.Status)
+		for i := range resp.Headers {
+			h.AddBytesV(resp.Headers[i].Name, resp.Headers[i].Value)
+		}
+		ctx.Response.SetBodyRaw(resp.Body)
+		if ctx.IsHead() && resp.ContentLength > 0 {
+			ctx.Response.SkipBody = true
+			h.SetContentLength(resp.ContentLength)
+		}
+	} else {
+		ctx.SetStatusCode(statusOf(resp))
+		h.SetContentType("text/plain; charset=utf-8")
+		ctx.Response.SetBodyString(resp.Reason + "\n")
+	}
+	h.Set(headerVerdict, resp.Verdict.String())
+	if resp.Reason != "" {
+		h.Set(headerReason, resp.Reason)
+	}
+	if in.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	in.metrics.verdicts[resp.Verdict].Inc()
+	in.metrics.delay.Observe((in.Clock.Now() - arrived).Duration().Seconds())
+}
+
+// malformed answers a request that fasthttp could not read. It changes nothing
+// else; the connection is closed, since its next request cannot be found.
+func (in *Ingress) malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	reason := reasonRequest
+	switch {
+	case errors.As(err, &small):
+		reason = reasonHeader
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		reason = reasonBody
+	case errors.As(err, &timeout) && timeout.Timeout():
+		reason = reasonSlowBody
+	}
+	ctx.Response.Reset()
+	in.metrics.refused.Inc()
+	in.reply(ctx, notRun(reason), in.Clock.Now())
+	linger(ctx.Conn())
+}
+
+// notRun returns the outcome of a request that was refused.
+func notRun(reason string) *wire.Response {
+	return &wire.Response{Verdict: result.NotRun, Reason: reason}
+}
--- /dev/null
+++ b/io/proxy/ingressmetrics.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hickoryrail/core/result"
+)
+
+// ingressMetrics counts what the ingress decides.
+type ingressMetrics struct {
+	verdicts [verdictCount]prometheus.Counter
+	attempts prometheus.Counter
+	retries  prometheus.Counter
+	hedges   prometheus.Counter
+	voids    prometheus.Counter
+	refused  prometheus.Counter
+	delay    prometheus.Histogram
+}
+
+// open creates the collectors and registers them.
+func (m *ingressMetrics) open(r prometheus.Registerer) error {
+	verdicts := counters("ingress_requests_total", "Requests of callers that were answered.", "verdict")
+	for i := range verdictCount {
+		m.verdicts[i] = verdicts.WithLabelValues(result.Verdict(i).String())
+	}
+	m.attempts = counter("ingress_attempts_total", "Attempts that were sent to a gate.")
+	m.retries = counter("ingress_retries_total", "Attempts after a failed one.")
+	m.hedges = counter("ingress_hedges_total", "Attempts beside a slow one.")
+	m.voids = counter("ingress_voids_total", "Voids that were asked for.")
+	m.refused = counter("ingress_malformed_total", "Requests that were malformed or too large.")
+	m.delay = histogram("ingress_delay_seconds", "Time from a whole request to its answer.")
+	return register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, m.delay)
+}
--- /dev/null
+++ b/io/proxy/proxy_test.go
@@ -0,0 +1,414 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
+	"hickoryrail/core/result"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/view"
+	"hickoryrail/io/wire"
+)
+
+// gateLife is the incarnation of every gate in these tests.
+const gateLife ident.Incarnation = 7
+
+type (
+	// fleet is a set of nodes that call each other's gateways in memory.
+	fleet struct {
+		gateways map[ident.NodeID]*Gateway
+		view     *view.View
+		// fault, if set, replaces a call before it is delivered.
+		fault func(ctx context.Context, g *Gateway, body []byte) ([]byte, error)
+	}
+
+	// standIn is an HTTP target whose behaviour is given in the request's path.
+	standIn struct {
+		*http.Server
+		address string
+		// runs counts handled requests by body.
+		mu   sync.Mutex
+		runs map[string]int
+		// open counts handlers that have not returned, and peak their maximum.
+		open, peak atomic.Int64
+		release    chan struct{}
+	}
+)
+
+func (f *fleet) Call(ctx context.Context, to ident.NodeID, _ string, body []byte) ([]byte, error) {
+	if f.fault != nil {
+		return f.fault(ctx, f.gateways[to], body)
+	}
+	return f.gateways[to].OnCall(ctx, "ingress", bytes.Clone(body)), nil
+}
+
+func (f *fleet) CallFresh(ctx context.Context, to ident.NodeID, _ string, body []byte) ([]byte, error) {
+	return f.gateways[to].OnCall(ctx, "ingress", bytes.Clone(body)), nil
+}
+
+// runsOf returns how often a body reached the target.
+func (s *standIn) runsOf(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+// newStandIn starts a target. Paths: /.../echo answers with the body, /hold waits
+// for release, /slow?ms= pauses in the middle of the answer, /die closes the
+// connection in the middle of the answer, /identity answers without a length.
+func newStandIn(t *testing.T) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{address: l.Addr().String(), runs: make(map[string]int), release: make(chan struct{})}
+	s.Server = &http.Server{Handler: http.HandlerFunc(s.handle)}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func (s *standIn) handle(w http.ResponseWriter, r *http.Request) {
+	s.peak.Store(max(s.peak.Load(), s.open.Add(1)))
+	defer s.open.Add(-1)
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	s.runs[string(body)]++
+	s.mu.Unlock()
+	w.Header().Set("X-Echo", r.Header.Get("X-Unique"))
+	w.Header().Set("X-Hop", r.Header.Get("X-Drop")+r.Header.Get("Te")+r.Header.Get("Keep-Alive"))
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/hold"):
+		select {
+		case <-s.release:
+		case <-r.Context().Done():
+		}
+		_, _ = w.Write(body)
+	case strings.HasSuffix(r.URL.Path, "/slow"):
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		w.(http.Flusher).Flush()
+		ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		_, _ = w.Write(body[len(body)/2:])
+	case strings.HasSuffix(r.URL.Path, "/die"):
+		c, b, _ := w.(http.Hijacker).Hijack()
+		_, _ = b.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+		_ = b.Flush()
+		_ = c.Close()
+	case strings.HasSuffix(r.URL.Path, "/identity"):
+		c, b, _ := w.(http.Hijacker).Hijack()
+		_, _ = b.WriteString("HTTP/1.1 200 OK\r\n\r\npart")
+		_ = b.Flush()
+		_ = c.Close()
+	default:
+		_, _ = w.Write(body)
+	}
+}
+
+// configuration has one service with an idempotent route /check, and the routes
+// /order and /browse.
+func configuration(slots int) model.Configuration {
+	r := func(name string, class model.Class, idempotent bool) model.Route {
+		return model.Route{
+			Name: ident.RouteName(name), PathPrefix: "/" + name, Service: "shop", Class: class,
+			Idempotent: idempotent, TimeoutMillis: 20000, MaxAttempts: 3, HedgeAfterMillis: -1,
+		}
+	}
+	return model.Configuration{
+		Inventory: model.Inventory{Services: []model.Service{{Name: "shop", Slots: ident.Slots(slots), Connections: 130}}},
+		Rules: model.Rules{Routes: []model.Route{
+			r("check", model.Check, true), r("order", model.Action, false), r("browse", model.Browse, true),
+		}},
+	}
+}
+
+// newFleet starts one gateway per target.
+func newFleet(t *testing.T, slots int, targets ...*standIn) *fleet {
+	f := &fleet{gateways: make(map[ident.NodeID]*Gateway)}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	var records []member.Record
+	for i, s := range targets {
+		node := ident.NodeID(fmt.Sprint("node-", i))
+		g := &Gateway{Self: node, Incarnation: gateLife, Clock: clock.NewSystem(), QueueLength: 512, Limits: Limits{BodyBytes: 64 << 10}}
+		if err := g.Open(); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = g.Run(ctx) }()
+		id := ident.TargetID(fmt.Sprint("target-", i))
+		if err := g.Announce(Announcement{Target: id, Address: s.address, Slots: ident.Slots(slots), Connections: 130}); err != nil {
+			t.Fatal(err)
+		}
+		f.gateways[node] = g
+		records = append(records, member.Record{
+			Node: node, Service: "shop", Target: id, TargetState: member.Ready,
+			GateIncarnation: gateLife, FailureDomain: "a", Region: "r", PeerAddress: "peer",
+		})
+	}
+	release, err := model.NewRelease(1, "edit", configuration(slots))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.view = view.Build(release, records)
+	return f
+}
+
+// newIngress starts an ingress in front of a fleet.
+func newIngress(t *testing.T, f *fleet) *Ingress {
+	random := rand.New(rand.NewPCG(1, 2))
+	in := &Ingress{
+		Self: "ingress", Listen: "127.0.0.1:0", Clock: clock.NewSystem(), Peers: f,
+		Picker: &route.Picker{Self: "ingress", FailureDomain: "a", Region: "r", Rand: random},
+		Policy: &retry.Policy{Budget: &retry.Budget{Ratio: 10}, Rand: random},
+		Limits: Limits{BodyBytes: 64 << 10, HeaderBytes: 4 << 10},
+	}
+	if err := in.Open(); err != nil {
+		t.Fatal(err)
+	}
+	in.SetView(f.view)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = in.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return in
+}
+
+// send makes one request with a body and returns the response and its body.
+func send(c *http.Client, in *Ingress, path, body string, headers ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+in.Address()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
+
+// TestRequestReachesTarget guards against a broken path, lost headers and
+// forwarded hop-by-hop fields.
+func TestRequestReachesTarget(t *testing.T) {
+	is := is.New(t)
+	in := newIngress(t, newFleet(t, 4, newStandIn(t)))
+	resp, body, err := send(http.DefaultClient, in, "/check/echo?a=b", "hello",
+		"X-Unique", "one", "Connection", "X-Drop", "X-Drop", "leak", "Te", "trailers", "Keep-Alive", "leak")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "hello")
+	is.Equal(resp.Header.Get("X-Echo"), "one")
+	is.Equal(resp.Header.Get("X-Hop"), "")
+	is.Equal(resp.Header.Get(headerVerdict), "Ran")
+	resp, _, err = send(http.DefaultClient, in, "/nowhere", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 404)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	resp, _, err = send(http.DefaultClient, in, "/check/../order/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 400) // two routes match, by raw and by normalized path
+}
+
+// TestLostConnectionIsVoided guards against running an action twice after its
+// connection was lost, before or after its request arrived.
+func TestLostConnectionIsVoided(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t)
+	f := newFleet(t, 4, target)
+	lost := result.NewError(result.MayHaveRun, "connection lost", nil)
+	first := true
+	f.fault = func(ctx context.Context, g *Gateway, body []byte) ([]byte, error) {
+		if first {
+			first = false
+			return nil, lost
+		}
+		return g.OnCall(ctx, "ingress", body), nil
+	}
+	in := newIngress(t, f)
+	resp, _, err := send(http.DefaultClient, in, "/order/echo", "lost before")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(target.runsOf("lost before"), 1)
+
+	f.fault = func(ctx context.Context, g *Gateway, body []byte) ([]byte, error) {
+		g.OnCall(ctx, "ingress", body)
+		return nil, lost
+	}
+	resp, body, err := send(http.DefaultClient, in, "/order/echo", "lost after")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200) // the kept answer
+	is.Equal(body, "lost after")
+	is.Equal(target.runsOf("lost after"), 1)
+
+	var late []byte
+	f.fault = func(_ context.Context, _ *Gateway, body []byte) ([]byte, error) {
+		if late == nil {
+			late = bytes.Clone(body)
+		}
+		return nil, lost
+	}
+	resp, _, err = send(http.DefaultClient, in, "/order/echo", "late")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	f.gateways["node-0"].OnCall(context.Background(), "ingress", late)
+	is.Equal(target.runsOf("late"), 0) // a voided attempt that arrives late
+}
+
+// TestDuplicateDeliveryRunsOnce guards against running one request id twice.
+func TestDuplicateDeliveryRunsOnce(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t)
+	g := newFleet(t, 8, target).gateways["node-0"]
+	for _, idempotent := range []bool{true, false} {
+		body := fmt.Sprint("twice ", idempotent)
+		call := encode(wire.Call{Request: &wire.Request{
+			ID: ident.RequestID(body), Gate: gateLife, Target: "target-0", Attempt: 1, Idempotent: idempotent,
+			RemainingMillis: 20000, Method: "POST", URI: []byte("/order/echo"), Body: []byte(body),
+		}})
+		var group sync.WaitGroup
+		for range 16 {
+			group.Go(func() { g.OnCall(context.Background(), "ingress", bytes.Clone(call)) })
+		}
+		group.Wait()
+		is.Equal(target.runsOf(body), 1)
+		a, err := wire.DecodeAnswer(g.OnCall(context.Background(), "ingress", call), 1<<20)
+		is.NoErr(err)
+		is.True(a.Response.Verdict != result.NotRun) // it did run
+	}
+}
+
+// TestDyingTargetMayHaveRun guards against a repeated request, or a verdict of
+// NotRun or Ran, when the answer is cut.
+func TestDyingTargetMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t)
+	in := newIngress(t, newFleet(t, 4, target))
+	for _, path := range []string{"/order/die", "/order/identity"} {
+		// An open connection from an earlier request is used for the next one.
+		_, _, err := send(http.DefaultClient, in, "/order/echo", "warm")
+		is.NoErr(err)
+		resp, _, err := send(http.DefaultClient, in, path, "cut "+path)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 502)
+		is.Equal(resp.Header.Get(headerVerdict), "MayHaveRun")
+		is.Equal(target.runsOf("cut "+path), 1)
+	}
+	_ = target.Close()
+	resp, _, err := send(http.DefaultClient, in, "/order/echo", "down")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503) // idle connections were closed, new ones are refused
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+}
+
+// TestStaleConnectionSendsOnce guards against repeating a request whose reused
+// connection closes after the request was sent.
+func TestStaleConnectionSendsOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				b := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(b); err != nil {
+						return
+					}
+					requests.Add(1)
+					if n > 0 {
+						return // reads a second request and closes without an answer
+					}
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	f := newFleet(t, 1, &standIn{address: l.Addr().String()})
+	in := newIngress(t, f)
+	for _, method := range []string{http.MethodGet, http.MethodPut} {
+		before := requests.Load()
+		for _, want := range []int{200, 502} {
+			req, err := http.NewRequest(method, "http://"+in.Address()+"/order/x", nil)
+			is.NoErr(err)
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			_ = resp.Body.Close()
+			is.Equal(resp.StatusCode, want)
+		}
+		is.Equal(requests.Load()-before, int64(2)) // the methods that HTTP calls idempotent too
+	}
+}
+
+// TestLimits guards against unclear answers to oversized and malformed requests
+// and against any effect of them.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t)
+	in := newIngress(t, newFleet(t, 4, target))
+	resp, _, err := send(http.DefaultClient, in, "/order/echo", strings.Repeat("x", 200<<10))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 413)
+	resp, _, err = send(http.DefaultClient, in, "/order/echo", "", "X-Large", strings.Repeat("x", 8<<10))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 431)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	resp, _, err = send(http.DefaultClient, in, "/order/echo", "", headerTimeout, "-1")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 400)
+	for _, raw := range []string{
+		"nonsense\r\n\r\n",
+		"POST /order/echo HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+		"POST /order/echo HTTP/1.1\r\nHost: x\r\nBad Header\r\n\r\n",
+		"POST /order/echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		c, err := net.Dial("tcp", in.Address())
+		is.NoErr(err)
+		_, err = c.Write([]byte(raw))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 400)
+		is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+		_ = c.Close()
+	}
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	is.Equal(len(target.runs), 0)
+}
--- /dev/null
+++ b/io/proxy/status.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/admit"
+	"hickoryrail/core/once"
+	"hickoryrail/core/result"
+	"hickoryrail/core/retry"
+	"hickoryrail/io/wire"
+)
+
+// statuses holds the HTTP status of each reason that has one of its own.
+var statuses = map[string]int{
+	reasonNoRoute:         fasthttp.StatusNotFound,
+	reasonPath:            fasthttp.StatusBadRequest,
+	reasonTimeout:         fasthttp.StatusBadRequest,
+	reasonRequest:         fasthttp.StatusBadRequest,
+	reasonKeyLength:       fasthttp.StatusBadRequest,
+	reasonBody:            fasthttp.StatusRequestEntityTooLarge,
+	reasonHeader:          fasthttp.StatusRequestHeaderFieldsTooLarge,
+	reasonSlowBody:        fasthttp.StatusRequestTimeout,
+	admit.ReasonFull:      fasthttp.StatusTooManyRequests,
+	admit.ReasonDisplaced: fasthttp.StatusTooManyRequests,
+	admit.ReasonWait:      fasthttp.StatusTooManyRequests,
+	once.ReasonClaimed:    fasthttp.StatusConflict,
+	once.ReasonMalformed:  fasthttp.StatusConflict,
+	reasonDeadline:        fasthttp.StatusGatewayTimeout,
+	retry.ReasonDeadline:  fasthttp.StatusGatewayTimeout,
+}
+
+// statusOf returns the HTTP status of an outcome without an answer.
+func statusOf(resp *wire.Response) int {
+	status, ok := statuses[resp.Reason]
+	switch {
+	case resp.Verdict == result.NotRun && (!ok || status == fasthttp.StatusGatewayTimeout):
+		return fasthttp.StatusServiceUnavailable
+	case resp.Verdict == result.NotRun || ok && status >= fasthttp.StatusInternalServerError || status == fasthttp.StatusConflict:
+		return status
+	}
+	return fasthttp.StatusBadGateway
+}
