io/peer: add the QUIC transport between nodes

Cause: nodes need calls with an exact verdict and control messages that never block, over connections that can go silent. Change: Transport runs one stream per call and per control message, with mutual TLS 1.3 against the own authority. Byte counts come from quic-go's connection statistics, so the socket keeps its batch system calls.

--- /dev/null
+++ b/io/peer/call.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/quic-go/quic-go"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/result"
+)
+
+// readChunk is the size of the reads whose progress is reported.
+const readChunk = 16 << 10
+
+var (
+	// errTooLarge reports a body above the limit.
+	errTooLarge = errors.New("body exceeds the limit")
+	// errNoConnection reports a connection that is closed.
+	errNoConnection = errors.New("connection does not exist")
+	// errEcho reports an echo with other content.
+	errEcho = errors.New("echo differs")
+)
+
+// Call sends a request to a node and returns the whole answer. The error is a
+// *result.Error: NotRun if nothing of the request was sent or the peer refused it
+// before it was run, MayHaveRun otherwise. When ctx ends, the stream is reset and
+// the handler's ctx ends too.
+func (t *Transport) Call(ctx context.Context, to ident.NodeID, address string, body []byte) ([]byte, error) {
+	return t.call(ctx, to, address, body, false)
+}
+
+// CallFresh is Call on a new connection. Later calls use the new connection too.
+func (t *Transport) CallFresh(ctx context.Context, to ident.NodeID, address string, body []byte) ([]byte, error) {
+	return t.call(ctx, to, address, body, true)
+}
+
+// call makes a call and counts its verdict.
+func (t *Transport) call(ctx context.Context, to ident.NodeID, address string, body []byte, fresh bool) ([]byte, error) {
+	answer, err := t.attempt(ctx, to, address, body, fresh)
+	t.metrics.calls.WithLabelValues(result.Of(err).String()).Inc()
+	return answer, err
+}
+
+// attempt connects and sends a request.
+func (t *Transport) attempt(ctx context.Context, to ident.NodeID, address string, body []byte, fresh bool) ([]byte, error) {
+	if len(body) > t.Limits.BodyBytes {
+		return nil, result.NewError(result.NotRun, reasonTooLarge, errTooLarge)
+	}
+	c, err := t.connect(ctx, to, address, fresh)
+	if err != nil {
+		return nil, err
+	}
+	return t.exchange(ctx, c, frameCall, body)
+}
+
+// Echo sends a few bytes on a dialed call connection and returns nil once they
+// have come back. It does not count as a call.
+func (t *Transport) Echo(ctx context.Context, id ConnectionID) error {
+	t.mu.Lock()
+	c := t.dialed[id]
+	t.mu.Unlock()
+	if c == nil {
+		return result.NewError(result.NotRun, reasonLost, errNoConnection)
+	}
+	sent := []byte(t.Self)
+	got, err := t.exchange(ctx, c, frameEcho, sent)
+	if err == nil && !bytes.Equal(got, sent) {
+		err = result.NewError(result.Ran, reasonReset, errEcho)
+	}
+	return err
+}
+
+// exchange sends a frame on a stream of its own and reads the answer to its end.
+func (t *Transport) exchange(ctx context.Context, c *connection, frame byte, body []byte) ([]byte, error) {
+	if !c.begin() {
+		return nil, result.NewError(result.NotRun, reasonRetired, nil)
+	}
+	defer c.finish()
+	s, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, contextError(ctx, result.NotRun)
+		}
+		t.forget(c)
+		return nil, result.NewError(result.NotRun, reasonStream, err)
+	}
+	if frame == frameCall {
+		t.emit(Sent, c, 0)
+		defer t.emit(Ended, c, 0)
+	}
+	stop := context.AfterFunc(ctx, func() { abandon(s) })
+	defer stop()
+	request := make([]byte, 0, 1+len(body))
+	request = append(append(request, frame), body...)
+	if _, err := s.Write(request); err != nil {
+		abandon(s)
+		return nil, callError(ctx, err)
+	}
+	// Close fails only for a stream that was reset; the read then fails too.
+	_ = s.Close()
+	answer, err := readAll(s, t.Limits.BodyBytes, func(n int) { t.emit(Progress, c, n) })
+	if err != nil {
+		abandon(s)
+		return nil, callError(ctx, err)
+	}
+	return answer, nil
+}
+
+// abandon resets both directions of a stream; the peer's handler sees its context
+// end.
+func abandon(s *quic.Stream) {
+	s.CancelWrite(codeCancelled)
+	s.CancelRead(codeCancelled)
+}
+
+// readAll reads up to limit bytes until the end of the stream and reports
+// progress. A reset or lost connection is an error, never a short body.
+func readAll(r io.Reader, limit int, progress func(int)) ([]byte, error) {
+	var body []byte
+	chunk := make([]byte, 0, min(limit+1, readChunk))
+	for {
+		n, err := r.Read(chunk[:cap(chunk)])
+		if n > 0 {
+			progress(n)
+		}
+		if len(body)+n > limit {
+			return nil, errTooLarge
+		}
+		body = append(body, chunk[:n]...)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// callError returns the verdict on a request of which some bytes were sent.
+func callError(ctx context.Context, err error) *result.Error {
+	var stream *quic.StreamError
+	var application *quic.ApplicationError
+	var transport *quic.TransportError
+	switch {
+	case errors.As(err, &stream) && stream.Remote && stream.ErrorCode == codeNotRun,
+		errors.As(err, &application) && application.Remote && application.ErrorCode == codeNotRun:
+		return result.NewError(result.NotRun, reasonRefused, err)
+	case errors.As(err, &transport) && transport.ErrorCode.IsCryptoError():
+		// The peer refused the certificate. The dialing side ends its handshake
+		// first, but the peer accepts no stream before its own has ended.
+		return result.NewError(result.NotRun, reasonDial, err)
+	case ctx.Err() != nil:
+		return contextError(ctx, result.MayHaveRun)
+	case errors.Is(err, errTooLarge):
+		return result.NewError(result.MayHaveRun, reasonTooLarge, err)
+	case stream != nil:
+		return result.NewError(result.MayHaveRun, reasonReset, err)
+	}
+	return result.NewError(result.MayHaveRun, reasonLost, err)
+}
--- /dev/null
+++ b/io/peer/metrics.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hickoryrail/core/ident"
+)
+
+// packetOverhead is the size of the IPv4 and UDP headers of one packet.
+const packetOverhead = 28
+
+type (
+	// Traffic counts what control connections carried.
+	Traffic struct {
+		Sent, Received ident.Bytes
+	}
+
+	// metrics holds the transport's counters.
+	metrics struct {
+		dials, dialFailures, served, refused, panics prometheus.Counter
+		dropped, discarded, stalled                  prometheus.Counter
+		controlSent, controlReceived                 prometheus.Counter
+		controlSentBytes, controlReceivedBytes       prometheus.Counter
+		calls                                        *prometheus.CounterVec
+		mu                                           sync.Mutex
+		open                                         map[*connection]struct{}
+		settled                                      Traffic
+	}
+)
+
+// ControlTraffic returns the bytes in UDP packets of all control connections so
+// far, with the UDP and IPv4 headers.
+func (t *Transport) ControlTraffic() Traffic {
+	m := &t.metrics
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := m.settled
+	for c := range m.open {
+		sum = sum.plus(trafficOf(c))
+	}
+	return sum
+}
+
+// plus returns the sum of two counts.
+func (a Traffic) plus(b Traffic) Traffic {
+	return Traffic{Sent: a.Sent + b.Sent, Received: a.Received + b.Received}
+}
+
+// trafficOf returns the bytes of one connection.
+func trafficOf(c *connection) Traffic {
+	s := c.quic.ConnectionStats()
+	return Traffic{
+		Sent:     ident.Bytes(s.BytesSent + packetOverhead*s.PacketsSent),
+		Received: ident.Bytes(s.BytesReceived + packetOverhead*s.PacketsReceived),
+	}
+}
+
+// follow includes a control connection in the byte counts.
+func (m *metrics) follow(c *connection) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open[c] = struct{}{}
+}
+
+// settle keeps the byte counts of a connection that closed.
+func (m *metrics) settle(c *connection) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.open, c)
+	m.settled = m.settled.plus(trafficOf(c))
+}
+
+// register creates the counters and registers them unless there is no registry.
+func (m *metrics) register(t *Transport) error {
+	m.open = make(map[*connection]struct{})
+	var all []prometheus.Collector
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: "hickoryrail_peer_" + name, Help: help})
+		all = append(all, c)
+		return c
+	}
+	m.dials = counter("dials_total", "Connections that were dialed.")
+	m.dialFailures = counter("dial_failures_total", "Dials that failed.")
+	m.served = counter("calls_served_total", "Calls of peers that were run.")
+	m.refused = counter("calls_refused_total", "Calls of peers that were refused as not run.")
+	m.panics = counter("call_panics_total", "Handlers that failed.")
+	m.dropped = counter("control_dropped_total", "Control messages that were dropped before they were sent.")
+	m.discarded = counter("control_discarded_total", "Control messages that did not arrive whole.")
+	m.stalled = counter("control_stalled_total", "Control connections that were replaced because they were silent.")
+	m.controlSent = counter("control_messages_sent_total", "Control messages sent.")
+	m.controlReceived = counter("control_messages_received_total", "Control messages received.")
+	m.controlSentBytes = counter("control_message_bytes_sent_total", "Bytes of control messages sent.")
+	m.controlReceivedBytes = counter("control_message_bytes_received_total", "Bytes of control messages received.")
+	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hickoryrail_peer_calls_total", Help: "Calls to peers by verdict.",
+	}, []string{"verdict"})
+	all = append(
+		all, m.calls,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "hickoryrail_peer_control_bytes_sent_total",
+			Help: "Bytes in UDP packets of control connections sent, with headers.",
+		}, func() float64 { return float64(t.ControlTraffic().Sent) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "hickoryrail_peer_control_bytes_received_total",
+			Help: "Bytes in UDP packets of control connections received, with headers.",
+		}, func() float64 { return float64(t.ControlTraffic().Received) }),
+	)
+	if t.Registry == nil {
+		return nil
+	}
+	var failures []error
+	for _, c := range all {
+		failures = append(failures, t.Registry.Register(c))
+	}
+	return errors.Join(failures...)
+}
