Refuse damaged deltas and releases whole

Cause: a delta that drops a field of a removed element, adds a field that no element has, or writes a number in another form led to the right digest and was applied. A failed DecodeRelease or Apply returned the release with the error. Change: Apply compares the fields with those of its result; both functions return the zero release with an error. Property tests and fuzz targets cover deltas, merges, digests and release bodies. Conclusion: a damaged delta is refused whole. The version and the edit id are in no digest, so the receiver compares them with the announcement. The test for fields of a removed element in Merge is unreachable for valid configurations.

--- a/core/model/delta.go
+++ b/core/model/delta.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 
 	"hickoryrail/core/ident"
 )
@@ -20,8 +21,13 @@
 	Changes []Change
 }
 
-// ErrBase reports a delta that starts from another release.
-var ErrBase = errors.New("delta starts from another release")
+var (
+	// ErrBase reports a delta that starts from another release.
+	ErrBase = errors.New("delta starts from another release")
+
+	// errFields reports a delta that leaves fields without their element.
+	errFields = errors.New("delta has a malformed or incomplete element")
+)
 
 // MakeDelta returns the delta between two releases.
 func MakeDelta(from, to Release) Delta {
@@ -56,6 +62,14 @@
 	if err != nil {
 		return Release{}, err
 	}
+	// The fields must be exactly those of the result: a field that no element has,
+	// or a value in an unusual form, does not show in the digest.
+	if !maps.Equal(f, flatten(configuration)) {
+		return Release{}, errFields
+	}
 	to := Release{Version: d.To, EditID: d.EditID, Digest: d.ToDigest, Configuration: configuration}
-	return to, to.Check()
+	if err := to.Check(); err != nil {
+		return Release{}, err
+	}
+	return to, nil
 }
--- /dev/null
+++ b/core/model/model_test.go
@@ -0,0 +1,303 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+// TestMain fixes rapid's seed, so that every run tries the same cases. A
+// -rapid.seed on the command line takes precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// drawConfiguration returns a valid configuration of few names and values, so
+// that two of them have much in common.
+func drawConfiguration(t *rapid.T) Configuration {
+	var c Configuration
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 1, 5, rapid.ID[int]).Draw(t, "services") {
+		c.Inventory.Services = append(c.Inventory.Services, Service{
+			Name:  ident.ServiceName(fmt.Sprintf("s%d", i)),
+			Slots: ident.Slots(rapid.IntRange(1, 2).Draw(t, "slots")), Connections: 9,
+		})
+	}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 3), 0, 4, rapid.ID[int]).Draw(t, "routes") {
+		c.Rules.Routes = append(c.Rules.Routes, Route{
+			Name: ident.RouteName(fmt.Sprintf("r%d", i)), PathPrefix: fmt.Sprintf("/%d", i),
+			Service: rapid.SampledFrom(c.Inventory.Services).Draw(t, "service").Name, Class: Action,
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), MaxAttempts: 1,
+			TimeoutMillis:    clock.Millis(rapid.Float64Range(1e-6, MaxTimeoutMillis).Draw(t, "timeout")),
+			HedgeAfterMillis: clock.Millis(rapid.SampledFrom([]float64{-1, 0, math.Copysign(0, -1), 2.5}).Draw(t, "hedge")),
+		})
+	}
+	for i := range rapid.IntRange(0, 2).Draw(t, "domains") {
+		region := ident.Region(rapid.SampledFrom([]string{"attica", "windhoek"}).Draw(t, "region"))
+		c.Inventory.FailureDomains = append(c.Inventory.FailureDomains, FailureDomain{
+			Name: ident.FailureDomain(fmt.Sprintf("d%d", i)), Region: region,
+		})
+	}
+	return c
+}
+
+// drawRelease returns a release with version v.
+func drawRelease(t *rapid.T, v ident.Version) Release {
+	r, err := NewRelease(v, ident.EditID(fmt.Sprintf("e%d", v)), drawConfiguration(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// equal reports whether two releases are the same.
+func equal(a, b Release) bool {
+	return a.Version == b.Version && a.EditID == b.EditID && a.Digest == b.Digest &&
+		a.Configuration.Digest() == b.Configuration.Digest() && len(Diff(a.Configuration, b.Configuration)) == 0
+}
+
+// TestDelta guards against a delta that does not lead to the release it was made
+// for, and against a change of the release it starts from.
+func TestDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawRelease(t, 3), drawRelease(t, 5)
+		before := EncodeRelease(a)
+		got, err := MakeDelta(a, b).Apply(a)
+		if err != nil || !equal(got, b) {
+			t.Fatalf("delta leads to %+v: %v", got, err)
+		}
+		if !slices.Equal(EncodeRelease(a), before) {
+			t.Fatal("the base release has changed")
+		}
+	})
+}
+
+// TestCorruptedDelta guards against a damaged delta that is applied in part or
+// leads to another configuration.
+func TestCorruptedDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawRelease(t, 3), drawRelease(t, 5)
+		d := MakeDelta(a, b)
+		if len(d.Changes) == 0 {
+			t.Skip("equal configurations")
+		}
+		i := rapid.IntRange(0, len(d.Changes)-1).Draw(t, "change")
+		c := &d.Changes[i]
+		kind := rapid.SampledFrom([]string{
+			"base", "base digest", "result digest", "back", "drop", "field", "old", "new", "zero", "extra", "cut",
+		}).Draw(t, "corruption")
+		switch kind {
+		case "base":
+			d.From++
+		case "base digest":
+			d.FromDigest[rapid.IntRange(0, 31).Draw(t, "byte")] ^= 1
+		case "result digest":
+			d.ToDigest[rapid.IntRange(0, 31).Draw(t, "byte")] ^= 1
+		case "back":
+			d.To = d.From - ident.Version(rapid.IntRange(0, 3).Draw(t, "back"))
+		case "drop":
+			d.Changes = slices.Delete(d.Changes, i, i+1)
+		case "field":
+			c.Field += rapid.SampledFrom([]string{"x", "/", "/Name"}).Draw(t, "suffix")
+		case "old":
+			c.Old += "1"
+		case "new":
+			c.New += rapid.SampledFrom([]string{"1", "x", " "}).Draw(t, "suffix")
+		case "zero":
+			c.New = "0" + c.New // the same number in another form
+		case "extra":
+			name := rapid.SampledFrom([]string{"Service/none/Slots", "Service/s0/Colour", "Rack/a/Name", "x"}).Draw(t, "name")
+			d.Changes = append(d.Changes, Change{Field: name, New: "1"})
+		case "cut":
+			d.Changes = d.Changes[:i]
+		}
+		if got, err := d.Apply(a); err == nil || got.Version != 0 || len(got.Configuration.Inventory.Services) > 0 {
+			t.Fatalf("corruption %q is accepted: %+v, %v", kind, got, err)
+		}
+	})
+}
+
+// TestMerge guards against a merge that loses or invents a change, or that
+// depends on who came first.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, head, edited := drawConfiguration(t), drawConfiguration(t), drawConfiguration(t)
+		merged, clashes := Merge(base, head, edited)
+		other, otherClashes := Merge(base, edited, head)
+		if (len(clashes) == 0) != (len(otherClashes) == 0) {
+			t.Fatalf("clashes are %v one way and %v the other", clashes, otherClashes)
+		}
+		mine, theirs := make(map[string]string), make(map[string]string)
+		for _, c := range Diff(base, edited) {
+			mine[c.Field] = c.New
+		}
+		for _, c := range Diff(base, head) {
+			theirs[c.Field] = c.New
+		}
+		for field, value := range mine {
+			v, both := theirs[field]
+			if both && v != value && !slices.Contains(clashes, field) {
+				t.Fatalf("%s is not among the clashes %v", field, clashes)
+			}
+		}
+		if len(clashes) > 0 {
+			for _, field := range clashes {
+				if _, changed := mine[field]; !changed {
+					t.Fatalf("%s clashes and was not edited", field)
+				}
+			}
+			return
+		}
+		if merged.Digest() != other.Digest() {
+			t.Fatalf("merges differ: %+v and %+v", merged, other)
+		}
+		for _, c := range Diff(merged, edited) {
+			if _, changed := mine[c.Field]; changed {
+				t.Fatalf("the edit's %s is lost", c.Field)
+			}
+		}
+		for _, c := range Diff(head, merged) {
+			if _, changed := mine[c.Field]; !changed {
+				t.Fatalf("%s changes without an edit", c.Field)
+			}
+		}
+	})
+}
+
+// TestDigest guards against equal configurations with different digests, and
+// different ones with the same.
+func TestDigest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawConfiguration(t), drawConfiguration(t)
+		if (a.Digest() == b.Digest()) != (len(Diff(a, b)) == 0) {
+			t.Fatalf("digests and differences disagree: %+v and %+v", a, b)
+		}
+		c := a
+		c.Inventory.Services = rapid.Permutation(a.Inventory.Services).Draw(t, "services")
+		c.Rules.Routes = rapid.Permutation(a.Rules.Routes).Draw(t, "routes")
+		if c.Digest() != a.Digest() {
+			t.Fatal("the digest depends on the order")
+		}
+	})
+}
+
+// TestRelease guards against a release that changes when it is encoded, and
+// against a damaged body that passes for a release with the same digest.
+func TestRelease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := drawRelease(t, 7)
+		body := EncodeRelease(r)
+		got, err := DecodeRelease(body)
+		if err != nil || !equal(got, r) {
+			t.Fatalf("decodes to %+v: %v", got, err)
+		}
+		i := rapid.IntRange(0, len(body)-1).Draw(t, "byte")
+		body[i] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		got, err = DecodeRelease(body)
+		if err == nil && len(Diff(got.Configuration, r.Configuration)) > 0 {
+			t.Fatalf("damaged body decodes to %+v", got)
+		}
+		if err != nil && got.Version != 0 {
+			t.Fatalf("error %v comes with release %+v", err, got)
+		}
+	})
+}
+
+// TestDecodeReleaseIsStrict guards against a body with missing or further bytes.
+func TestDecodeReleaseIsStrict(t *testing.T) {
+	is := is.New(t)
+	r, err := NewRelease(1, "e", Configuration{})
+	is.NoErr(err)
+	body := EncodeRelease(r)
+	for i := range body {
+		_, err := DecodeRelease(body[:i])
+		is.True(err != nil)
+	}
+	_, err = DecodeRelease(append(body, 0))
+	is.True(err != nil)
+	r.Version = 0
+	_, err = DecodeRelease(EncodeRelease(r))
+	is.True(err != nil)
+}
+
+// seedRelease returns a release for the fuzz targets.
+func seedRelease(v ident.Version, slots ident.Slots) Release {
+	r, err := NewRelease(v, "e", Configuration{
+		Inventory: Inventory{
+			FailureDomains: []FailureDomain{{Name: "d", Region: "r"}},
+			Services:       []Service{{Name: "s", Slots: slots, Connections: 9}},
+		},
+		Rules: Rules{Routes: []Route{{Name: "r", PathPrefix: "/", Service: "s", TimeoutMillis: 1.5, MaxAttempts: 1}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// FuzzDecodeRelease guards against a panic, and against an accepted release that
+// is not whole or does not encode and decode to itself.
+func FuzzDecodeRelease(f *testing.F) {
+	f.Add(EncodeRelease(seedRelease(1, 1)))
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := DecodeRelease(body)
+		if err != nil {
+			return
+		}
+		if err := r.Check(); err != nil {
+			t.Errorf("accepted: %v", err)
+		}
+		if again, err := DecodeRelease(EncodeRelease(r)); err != nil || !equal(again, r) {
+			t.Errorf("%+v becomes %+v: %v", r, again, err)
+		}
+	})
+}
+
+// FuzzApply guards against a panic on a delta of any content, and against one that
+// is applied and does not lead to the release with its digest.
+func FuzzApply(f *testing.F) {
+	from, to := seedRelease(1, 1), seedRelease(2, 2)
+	f.Add("Service/s/Slots", "1", "2", "", "", "")
+	f.Add("Service/s/Name", "s", "", "Route/r/Class", "Check", "Class(7)")
+	f.Add("/Name", "", "x", "Service//Name", "", "y")
+	f.Fuzz(func(t *testing.T, field, before, after, field2, before2, after2 string) {
+		d := MakeDelta(from, to)
+		d.Changes = []Change{{Field: field, Old: before, New: after}, {Field: field2, Old: before2, New: after2}}
+		if got, err := d.Apply(from); err == nil && !equal(got, to) {
+			t.Errorf("leads to %+v", got)
+		}
+	})
+}
+
+// TestMergeRemoval guards against a removal that discards another edit's change of
+// the same element, or the other way round.
+func TestMergeRemoval(t *testing.T) {
+	is := is.New(t)
+	service := func(name ident.ServiceName, slots ident.Slots) Service {
+		return Service{Name: name, Slots: slots, Connections: 9}
+	}
+	base := Configuration{Inventory: Inventory{Services: []Service{service("a", 1), service("b", 1)}}}
+	changed := Configuration{Inventory: Inventory{Services: []Service{service("a", 1), service("b", 2)}}}
+	removed := Configuration{Inventory: Inventory{Services: []Service{service("a", 1)}}}
+	_, clashes := Merge(base, changed, removed)
+	is.Equal(clashes, []string{"Service/b/Name", "Service/b/Slots"})
+	_, clashes = Merge(base, removed, changed)
+	is.Equal(clashes, []string{"Service/b/Slots"})
+	merged, clashes := Merge(base, removed, removed)
+	is.Equal(len(clashes), 0)
+	is.Equal(merged.Digest(), removed.Digest())
+}
--- a/core/model/release.go
+++ b/core/model/release.go
@@ -105,7 +105,10 @@
 	if err := decoder.Unmarshal(body, &r); err != nil {
 		return Release{}, fmt.Errorf("decode release: %w", err)
 	}
-	return r, r.Check()
+	if err := r.Check(); err != nil {
+		return Release{}, err
+	}
+	return r, nil
 }
 
 // Check returns an error unless r is a whole, valid release.
