Read inventory and rules by io/files

Cause: io/files is there, so check, plan and apply need no loaders from main. Change: the Loaders fields are gone; check, plan and apply call files.Load. A check of rules needs the inventory too, because routes name its services. Conclusion: check, plan and apply work on real files.

--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -54,8 +54,8 @@
 }
 
 // planCommand shows what an edit would change.
-func planCommand(stdout io.Writer, loaders Loaders) *command {
-	p := proposal{sources: sources{loaders: loaders}}
+func planCommand(stdout io.Writer) *command {
+	var p proposal
 	return &command{
 		name: "plan", synopsis: "show what an edit would change, without changing anything",
 		usage: `hickoryrail plan -inventory FILE -rules FILE [-base N] [-node URL]
@@ -134,8 +134,8 @@
 }
 
 // applyCommand submits an edit.
-func applyCommand(stdout io.Writer, loaders Loaders) *command {
-	p := proposal{sources: sources{loaders: loaders}}
+func applyCommand(stdout io.Writer) *command {
+	var p proposal
 	return &command{
 		name: "apply", synopsis: "submit an edit, now or for a release time",
 		usage: `hickoryrail apply -inventory FILE -rules FILE -base N [-at TIME] [-edit ID] [-node URL]
--- a/io/cmds/check.go
+++ b/io/cmds/check.go
@@ -6,16 +6,17 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"hickoryrail/core/model"
 	"hickoryrail/io/conf"
+	"hickoryrail/io/files"
 )
 
 // sources holds the flags that name the files of a configuration.
 type sources struct {
 	inventory string
 	rules     string
-	loaders   Loaders
 }
 
 // flags defines the flags.
@@ -24,32 +25,24 @@
 	f.StringVar(&s.rules, "rules", "", "rules `file`")
 }
 
-// load reads and validates the configuration. It reports the faults of both files
-// at once.
+// load reads and validates the configuration.
 func (s *sources) load() (model.Configuration, error) {
 	if s.inventory == "" || s.rules == "" {
 		return model.Configuration{}, usageError{"-inventory and -rules are both needed"}
 	}
-	inventory, err1 := s.loaders.Inventory(s.inventory)
-	rules, err2 := s.loaders.Rules(s.rules)
-	if err := errors.Join(err1, err2); err != nil {
-		return model.Configuration{}, err
-	}
-	c := model.Configuration{Inventory: inventory, Rules: rules}
-	return c, c.Validate()
+	return files.Load(s.inventory, s.rules)
 }
 
 // checkCommand checks files without a node.
-func checkCommand(stdout io.Writer, loaders Loaders) *command {
-	s := sources{loaders: loaders}
+func checkCommand(stdout io.Writer) *command {
+	var s sources
 	var config string
 	return &command{
 		name: "check", synopsis: "check settings, inventory and rules files",
-		usage: `hickoryrail check [-config FILE] [-inventory FILE] [-rules FILE]
+		usage: `hickoryrail check [-config FILE] [-inventory FILE [-rules FILE]]
 
 Checks files without a node and names every fault with its line, key, value and
-what is allowed. With both -inventory and -rules it also checks that each rule
-fits the inventory.
+what is allowed. -rules needs -inventory too, because routes name its services.
 
 Examples:
   hickoryrail check -config a1.toml
@@ -77,19 +70,16 @@
 
 // check checks the files that are named.
 func (s *sources) check(config string) error {
-	var faults []error
+	var settings, configuration error
 	if config != "" {
-		_, err := conf.Load(config)
-		faults = append(faults, err)
+		_, settings = conf.Load(config)
 	}
-	var err error
 	switch {
-	case s.inventory != "" && s.rules != "":
-		_, err = s.load()
-	case s.inventory != "":
-		_, err = s.loaders.Inventory(s.inventory)
 	case s.rules != "":
-		_, err = s.loaders.Rules(s.rules)
+		_, configuration = s.load()
+	case s.inventory != "":
+		// An inventory is complete without rules.
+		_, configuration = files.Load(s.inventory, os.DevNull)
 	}
-	return errors.Join(append(faults, err)...)
+	return errors.Join(settings, configuration)
 }
--- a/io/cmds/command.go
+++ b/io/cmds/command.go
@@ -13,7 +13,6 @@
 
 	"github.com/google/subcommands"
 
-	"hickoryrail/core/model"
 	"hickoryrail/io/conf"
 )
 
@@ -26,13 +25,6 @@
 		Demo Backend
 		// Bench runs measurements.
 		Bench Backend
-		Loaders
-	}
-
-	// Loaders read the files of a configuration.
-	Loaders struct {
-		Inventory func(path string) (model.Inventory, error)
-		Rules     func(path string) (model.Rules, error)
 	}
 
 	// Backend is a command that has flags of its own.
@@ -100,7 +92,7 @@
 func groups(stdout io.Writer, b Backends) map[string][]*command {
 	all := map[string][]*command{
 		"operators": {
-			checkCommand(stdout, b.Loaders), planCommand(stdout, b.Loaders), applyCommand(stdout, b.Loaders), historyCommand(stdout),
+			checkCommand(stdout), planCommand(stdout), applyCommand(stdout), historyCommand(stdout),
 			statusCommand(stdout), watchCommand(stdout),
 		},
 		"servers": {keysCommand(stdout), platformCommand(stdout), settingsCommand(stdout)},
