Add the target command

Cause: a walk through a fleet of separate processes needs targets that announce themselves, and the platform stand-in alone does not give any. Change: the target command runs a stand-in that main supplies as a function. SIGTERM drains it at its node before it stops serving. The platform command moves to the group of trials. Seen to fail on a broken version: a target that stops before its drain. Conclusion: main has to set Backends.Target.

--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -95,6 +95,7 @@
 			_, err := io.WriteString(stdout, "node "+string(s.Node))
 			return err
 		},
+		Target: func(TargetOptions) TargetServer { return &served{} },
 		Demo: Backend{
 			Flags: func(f *flag.FlagSet) { f.Int("nodes", 3, "nodes") },
 			Run:   func(context.Context, io.Writer, []string) error { return errors.New("demo failed") },
@@ -175,6 +176,7 @@
 		{"keys -nodes a/b", 1, "", "a/b"},
 		{"demo", 1, "", "demo failed"},
 		{"demo -nodes x", 2, "", "invalid value"},
+		{"target -id t1", 2, "", "-service"},
 		{"bench", 2, "", ""},
 		{"dance", 2, "", ""},
 	}
@@ -299,6 +301,36 @@
 	})
 }
 
+// served is a target that notes what happens to it.
+type served struct{ events []string }
+
+func (s *served) note(event string) error { s.events = append(s.events, event); return nil }
+
+func (s *served) Open() error     { return s.note("open") }
+func (s *served) Address() string { return "127.0.0.1:1" }
+
+func (s *served) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return s.note("stop")
+}
+
+func (s *served) Drain(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return s.note("drain")
+}
+
+// TestTarget guards against a target that stops before its drain.
+func TestTarget(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s := &served{}
+	is.NoErr(runTarget(ctx, s, io.Discard))
+	is.Equal(s.events, []string{"open", "drain", "stop"})
+}
+
 // TestWatch guards against a watch that ends before every live node holds the
 // release, or that waits for a dead one.
 func TestWatch(t *testing.T) {
--- a/io/cmds/command.go
+++ b/io/cmds/command.go
@@ -22,7 +22,9 @@
 	Backends struct {
 		// Node runs a node until ctx ends and then stops it gracefully.
 		Node func(ctx context.Context, s conf.Settings, stdout io.Writer) error
-		Demo Backend
+		// Target creates a stand-in target.
+		Target func(o TargetOptions) TargetServer
+		Demo   Backend
 		// Bench runs measurements.
 		Bench Backend
 	}
@@ -95,11 +97,15 @@
 			checkCommand(stdout), planCommand(stdout), applyCommand(stdout), historyCommand(stdout),
 			statusCommand(stdout), watchCommand(stdout),
 		},
-		"servers": {keysCommand(stdout), platformCommand(stdout), settingsCommand(stdout)},
+		"servers": {keysCommand(stdout), settingsCommand(stdout)},
+		"trials":  {platformCommand(stdout)},
 	}
 	if b.Node != nil {
 		all["servers"] = append(all["servers"], nodeCommand(stdout, b.Node))
 	}
+	if b.Target != nil {
+		all["trials"] = append(all["trials"], targetCommand(stdout, b.Target))
+	}
 	for _, extra := range []struct {
 		backend               Backend
 		name, synopsis, usage string
