--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -108,7 +108,11 @@
 	if err := printChanges(stdout, out); err != nil {
 		return err
 	}
-	fmt.Fprintf(stdout, "\napply with:\n  hickoryrail apply -inventory %s -rules %s -base %d\n", p.inventory, p.rules, base)
+	fmt.Fprintf(stdout, "\napply with:\n  hickoryrail apply -inventory %s -rules %s -base %d", p.inventory, p.rules, base)
+	if p.node != defaultNode {
+		fmt.Fprintf(stdout, " -node %s", p.node)
+	}
+	fmt.Fprintln(stdout)
 	return nil
 }
 
--- a/io/cmds/operator.go
+++ b/io/cmds/operator.go
@@ -16,6 +16,9 @@
 	"hickoryrail/io/admin"
 )
 
+// defaultNode is the operator address of a node with default settings.
+const defaultNode = "https://127.0.0.1:8443"
+
 // connection holds the flags that name a node and the operator's credential.
 type connection struct {
 	node       string
@@ -25,7 +28,7 @@
 
 // flags defines the flags.
 func (c *connection) flags(f *flag.FlagSet) {
-	f.StringVar(&c.node, "node", "https://127.0.0.1:8443", "operator `address` of any node")
+	f.StringVar(&c.node, "node", defaultNode, "operator `address` of any node")
 	f.StringVar(&c.credential, "credential", "keys/operator.token", "`file` with the operators' token")
 	f.StringVar(&c.authority, "authority", "keys/authority.crt", "`file` with the fleet's authority")
 }
@@ -142,7 +145,11 @@
 	fmt.Fprintf(w, "node\t%s in %s, %s\n", s.Node, s.FailureDomain, s.Region)
 	fmt.Fprintf(w, "ready\t%s\n", ready)
 	fmt.Fprintf(w, "release\t%d %s (edit %s)\n", s.Version, s.Digest.Short(), s.EditID)
-	fmt.Fprintf(w, "lease\t%s, epoch %d\n", s.Lease.Holder, s.Lease.Epoch)
+	lease := "holder unknown"
+	if s.Lease.Holder != "" {
+		lease = fmt.Sprintf("%s, epoch %d", s.Lease.Holder, s.Lease.Epoch)
+	}
+	fmt.Fprintf(w, "lease\t%s\n", lease)
 	for _, state := range []string{"Alive", "Suspect", "Dead", "Left"} {
 		fmt.Fprintf(w, "members %s\t%d\n", state, s.Members[state])
 	}
