--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -87,8 +87,8 @@
 		// Connections is the number of connections that the target accepts; each
 		// running call uses one.
 		Connections ident.Connections
-		// QueueLength bounds the waiting calls. Each class may hold one call
-		// beyond it, so that no class is kept out of the queue.
+		// QueueLength bounds the waiting calls; at least 1. A class without a
+		// waiting call may add one beyond it, so that no class is kept out.
 		QueueLength int
 		// AgeingMillis bounds the time for which a class with waiting calls is
 		// passed over by classes that go first.
