io/wire: fuzz the call decoders

Cause: calls come from the network. Change: native fuzz targets for calls and answers, and a test of the bounds. Seen to fail with: both messages in one envelope, spaces in the URI, line breaks in header values, no header count, a status without a run, and a body that shares memory with its input. Conclusion: a decoded call owns its memory and stays within its bounds.

--- /dev/null
+++ b/io/wire/call_test.go
@@ -0,0 +1,137 @@
+package wire
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/result"
+)
+
+// fuzzLimit bounds the messages that the fuzz targets decode.
+const fuzzLimit = 1 << 16
+
+// sampleRequest is a valid request.
+func sampleRequest() *Request {
+	return &Request{
+		ID: "id", Gate: 3, Target: "target", Attempt: 1, Route: "order", RemainingMillis: 100,
+		Method: "POST", URI: []byte("/order?a=\xff"), Headers: []Header{{Name: "X", Value: []byte("\xff")}}, Body: []byte("body"),
+	}
+}
+
+// seedCalls adds valid and broken messages of both directions.
+func seedCalls(f *testing.F) {
+	for _, m := range []any{
+		Call{Request: sampleRequest()},
+		Call{Void: &Void{ID: "id", Gate: 3}},
+		Call{},
+		Answer{Response: &Response{Verdict: result.Ran, Status: 200, Body: []byte("x")}},
+		Answer{Response: &Response{Verdict: result.Ran}},
+		Answer{Response: &Response{Verdict: result.NotRun, Status: 200}},
+		Answer{Voided: &Voided{Verdict: result.NotRun, Reason: "r"}},
+	} {
+		body, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+		f.Add(body[:len(body)/2])
+	}
+}
+
+// FuzzDecodeCall guards against a panic, an accepted call that breaks out of an
+// HTTP line, a result that shares memory with its input and a call that changes
+// when it is encoded again.
+func FuzzDecodeCall(f *testing.F) {
+	seedCalls(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		input := bytes.Clone(body)
+		c, err := DecodeCall(input, fuzzLimit)
+		if err != nil {
+			return
+		}
+		first, err := Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clear(input)
+		if second, _ := Encode(c); !bytes.Equal(first, second) {
+			t.Fatal("call shares memory with its input")
+		}
+		again, err := DecodeCall(first, fuzzLimit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if second, _ := Encode(again); !bytes.Equal(first, second) {
+			t.Fatal("call changes when it is encoded again")
+		}
+		if r := c.Request; r != nil {
+			if bytes.ContainsAny(r.URI, " \r\n") || bytes.ContainsAny([]byte(r.Method), " \r\n") || r.ID == "" {
+				t.Fatalf("request line can be split: %q %q", r.Method, r.URI)
+			}
+			for _, h := range r.Headers {
+				if bytes.ContainsAny(h.Value, "\r\n") || bytes.ContainsAny([]byte(h.Name), ": \r\n") {
+					t.Fatalf("header can be split: %q", h)
+				}
+			}
+		}
+	})
+}
+
+// FuzzDecodeAnswer guards against a panic, a status without a run, and a result
+// that shares memory with its input.
+func FuzzDecodeAnswer(f *testing.F) {
+	seedCalls(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		input := bytes.Clone(body)
+		a, err := DecodeAnswer(input, fuzzLimit)
+		if err != nil {
+			return
+		}
+		first, err := Encode(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clear(input)
+		if second, _ := Encode(a); !bytes.Equal(first, second) {
+			t.Fatal("answer shares memory with its input")
+		}
+		if r := a.Response; r != nil && (r.Verdict == result.Ran) != (r.Status > 0) {
+			t.Fatalf("verdict %v with status %d", r.Verdict, r.Status)
+		}
+	})
+}
+
+// TestCallBounds guards against a call that names both messages or none, or that
+// could split an HTTP request.
+func TestCallBounds(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(c *Call){
+		func(c *Call) { c.Request = nil },
+		func(c *Call) { c.Void = &Void{ID: "id"} },
+		func(c *Call) { c.Request.ID = "" },
+		func(c *Call) { c.Request.Attempt = 0 },
+		func(c *Call) { c.Request.Class = 3 },
+		func(c *Call) { c.Request.RemainingMillis = -1 },
+		func(c *Call) { c.Request.Method = "GET /x" },
+		func(c *Call) { c.Request.URI = []byte("/a b") },
+		func(c *Call) { c.Request.URI = []byte("http://x/") },
+		func(c *Call) { c.Request.Headers[0].Name = "X: y" },
+		func(c *Call) { c.Request.Headers[0].Value = []byte("a\r\nb") },
+		func(c *Call) { c.Request.Headers = slices.Repeat(c.Request.Headers, MaxCallHeaders+1) },
+		func(c *Call) { c.Request.Body = make([]byte, fuzzLimit) },
+	} {
+		c := Call{Request: sampleRequest()}
+		body, err := Encode(c)
+		is.NoErr(err)
+		_, err = DecodeCall(body, fuzzLimit)
+		is.NoErr(err)
+		change(&c)
+		body, err = Encode(c)
+		is.NoErr(err)
+		_, err = DecodeCall(body, fuzzLimit)
+		is.True(err != nil)
+	}
+}
