--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -36,9 +36,9 @@
 		// passed is since when each class with waiting calls was passed over.
 		passed [classes]clock.Millis
 		// old is the true number of calls that an earlier gate started.
-		old              int
-		draining, queued bool
-		drained          int
+		old      int
+		draining bool
+		drained  int
 	}
 
 	// tracked is one call and the number of actions it got.
