io/peer: let handlers of the crossing test take time

Cause: the test's handlers answered at once, so that cancellations did not fall between start and answer, and a wrong NotRun went unseen. Change: handlers take up to 35 ms by the last digit of the request. Conclusion: the test now fails when an ended context gives NotRun after the request was sent.

--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -69,7 +69,7 @@
 			mu.Unlock()
 			select {
 			case <-ctx.Done():
-			case <-time.After(time.Duration(body[0]%8) * time.Millisecond):
+			case <-time.After(time.Duration(body[7]%8) * 5 * time.Millisecond):
 			}
 			return answerTo(body)
 		}
