io/wire: fit the default call size to the transport's

Cause: body, header and overhead of a call exceeded the transport's default bound of 1 MiB + 64 KiB by 16 KiB. Change: CallOverheadBytes is 48 KiB. Conclusion: the defaults of both packages agree.

--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -15,7 +15,7 @@
 	MaxCallHeaders = 256
 	// CallOverheadBytes bounds what a call adds to its body and header bytes: the
 	// framing, the ids and the URI.
-	CallOverheadBytes = 64 << 10
+	CallOverheadBytes = 48 << 10
 	// maxIDBytes bounds ids, names and reasons in a call.
 	maxIDBytes = 256
 )
