io/proxy: close the listener of a draining ingress only when it is quiet

Run could also wait forever if its context ended before Serve had begun. Change: Drain waits for 500 ms without open connections, at most LingerMillis. Run closes the listener itself. Conclusion: only a caller that connects in the instant of the close is reset.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -36,6 +36,10 @@
 	readMillis = 30 * clock.Second
 	// idleCallerMillis is the age at which an idle caller's connection closes.
 	idleCallerMillis = clock.Minute
+	// quietMillis is the time without open connections after which a drain closes
+	// the listener. A caller whose connection was closed with its answer connects
+	// again at once, and closing the listener resets what it has not accepted.
+	quietMillis = 500 * clock.Millis(1)
 	// drainPollMillis is the interval at which a drain looks for open
 	// connections.
 	drainPollMillis = 2 * clock.Millis(1)
@@ -167,8 +171,9 @@
 	in.view.Store(v)
 }
 
-// Run serves until ctx ends, and then closes at once; Drain goes before it for a
-// stop that interrupts no request.
+// Run serves until ctx ends. It then accepts no more connections; those that are
+// open close after the request in flight. Drain goes before it for a stop that
+// interrupts no request.
 func (in *Ingress) Run(ctx context.Context) error {
 	var group conc.WaitGroup
 	served := make(chan error, 1)
@@ -179,12 +184,13 @@
 		return err
 	case <-ctx.Done():
 	}
+	in.draining.Store(true)
+	// The server knows its listener only once Serve has begun, so the listener
+	// is closed here as well.
+	_ = in.listener.Close()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	// An ended context closes the listener without waiting for connections.
-	if err := in.server.ShutdownWithContext(ended); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
+	_ = in.server.ShutdownWithContext(ended) // closes idle connections
 	return <-served
 }
 
@@ -197,7 +203,11 @@
 	t := time.NewTicker(drainPollMillis.Duration())
 	defer t.Stop()
 	linger := time.Now().Add(in.LingerMillis.Duration())
-	for in.inFlight.Load() > 0 || in.server.GetOpenConnectionsCount() > 0 && time.Now().Before(linger) {
+	quiet := time.Now()
+	for in.inFlight.Load() > 0 || time.Now().Before(linger) && time.Since(quiet) < quietMillis.Duration() {
+		if in.server.GetOpenConnectionsCount() > 0 {
+			quiet = time.Now()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
