--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -45,12 +45,14 @@
 	standIn struct {
 		*http.Server
 		address string
-		// runs counts handled requests by body.
+		// mu guards runs, the handled requests by body, and peak, the maximum of
+		// open.
 		mu   sync.Mutex
 		runs map[string]int
-		// open counts handlers that have not returned, and peak their maximum.
-		open, peak atomic.Int64
-		release    chan struct{}
+		peak int64
+		// open counts handlers that have not returned.
+		open    atomic.Int64
+		release chan struct{}
 	}
 )
 
@@ -88,12 +90,12 @@
 }
 
 func (s *standIn) handle(w http.ResponseWriter, r *http.Request) {
-	s.peak.Store(max(s.peak.Load(), s.open.Add(1)))
-	defer s.open.Add(-1)
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	s.runs[string(body)]++
+	s.peak = max(s.peak, s.open.Add(1))
 	s.mu.Unlock()
+	defer s.open.Add(-1)
 	w.Header().Set("X-Echo", r.Header.Get("X-Unique"))
 	w.Header().Set("X-Hop", r.Header.Get("X-Drop")+r.Header.Get("Te")+r.Header.Get("Keep-Alive"))
 	switch {
@@ -323,6 +325,8 @@
 		is.Equal(resp.Header.Get(headerVerdict), "MayHaveRun")
 		is.Equal(target.runsOf("cut "+path), 1)
 	}
+	_, _, err := send(http.DefaultClient, in, "/order/echo", "warm")
+	is.NoErr(err)
 	_ = target.Close()
 	resp, _, err := send(http.DefaultClient, in, "/order/echo", "down")
 	is.NoErr(err)
