core/member: add the member table of the overlay

Cause: nodes need one view of who is alive at a cost that does not grow with the fleet. Change: Table probes the successors on 4 hash rings, forwards updates on probes, repairs differences by hash buckets and tries dead members and seeds. A claim of death by a peer counts as a confirmed suspicion only, so that regions that meet again do not take each other's word about their own members. Held is merged as a maximum outside the record order and travels with probes to neighbours, since a release changes it on every node at once. peer.SendControl accepts an empty address for answers to nodes whose record is unknown.

--- /dev/null
+++ b/core/member/probe.go
@@ -0,0 +1,229 @@
+package member
+
+import (
+	"slices"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+const (
+	// helperCount is the number of neighbours asked for an indirect probe.
+	helperCount = 2
+	// maxRelays bounds the probes for others that await an answer.
+	maxRelays = 32
+)
+
+type (
+	// probe is a probe of a neighbour without an answer.
+	probe struct {
+		sequence uint64
+		sentAt   clock.Millis
+		// indirect is set once helpers were asked.
+		indirect bool
+	}
+
+	// relay is a probe on behalf of another node.
+	relay struct {
+		requester ident.NodeID
+		sequence  uint64
+		sentAt    clock.Millis
+	}
+)
+
+// Tick does what is due.
+func (t *Table) Tick(now clock.Millis) []Action {
+	if t.self.State == Left {
+		return nil
+	}
+	t.notePause(now)
+	t.expire(now)
+	t.rings.update(t.ordered)
+	out := t.checkProbes(now)
+	out = append(out, t.startProbes(now)...)
+	out = append(out, t.retry(now)...)
+	if t.noticeDue && now >= t.nextNotice {
+		out = append(out, t.notify(now)...)
+	}
+	return out
+}
+
+// notePause detects that the node itself did not run for a while. Answers that
+// came meanwhile are still unread, so pending probes start anew and suspicions
+// get the lost time back.
+func (t *Table) notePause(now clock.Millis) {
+	gap := now - t.lastTick
+	t.lastTick = now
+	if gap < t.config.PauseMillis {
+		return
+	}
+	clear(t.probes)
+	clear(t.relays)
+	for _, m := range t.ordered {
+		if m.record.State == Suspect {
+			m.suspectedAt = min(m.suspectedAt+gap, now)
+		}
+		m.differsSince = 0
+	}
+	for i := range t.nextProbe {
+		// The probes of the rings are spread over the interval.
+		t.nextProbe[i] = now + t.config.ProbeMillis*clock.Millis(i)/ringCount
+	}
+}
+
+// startProbes probes the ring successors that are due.
+func (t *Table) startProbes(now clock.Millis) []Action {
+	var out []Action
+	for i, m := range t.rings.successors {
+		if now < t.nextProbe[i] {
+			continue
+		}
+		t.nextProbe[i] = max(t.nextProbe[i]+t.config.ProbeMillis, now+t.config.ProbeMillis/2)
+		if t.probes[m.record.Node] != nil {
+			continue
+		}
+		t.lastProbe++
+		t.probes[m.record.Node] = &probe{sequence: t.lastProbe, sentAt: now}
+		out = append(out, t.send(Probe, m, t.lastProbe))
+	}
+	return out
+}
+
+// checkProbes asks helpers for late answers and suspects members whose answer did
+// not come by them either.
+func (t *Table) checkProbes(now clock.Millis) []Action {
+	var out []Action
+	for _, m := range t.ordered {
+		p := t.probes[m.record.Node]
+		if p == nil {
+			continue
+		}
+		waited := now - p.sentAt
+		switch {
+		case !p.indirect && waited >= t.config.TimeoutMillis:
+			p.indirect = true
+			out = append(out, t.askHelpers(m, p.sequence)...)
+		case waited >= t.config.TimeoutMillis+t.config.IndirectMillis:
+			delete(t.probes, m.record.Node)
+			t.missed(now, m)
+		}
+	}
+	for sequence, r := range t.relays {
+		if now-r.sentAt >= t.config.IndirectMillis {
+			delete(t.relays, sequence)
+		}
+	}
+	return out
+}
+
+// missed records that the node itself got no answer from a member.
+func (t *Table) missed(now clock.Millis, m *member) {
+	switch m.record.State {
+	case Alive:
+		t.suspect(now, m, m.record, t.self.Node, "no answer to a probe, direct or indirect")
+	case Suspect:
+		t.confirm(m, t.self.Node)
+	case Dead, Left:
+	}
+}
+
+// askHelpers asks other neighbours to probe a member.
+func (t *Table) askHelpers(m *member, sequence uint64) []Action {
+	helpers := slices.DeleteFunc(t.neighbours(), func(h *member) bool {
+		return h == m || h.record.State != Alive
+	})
+	t.random.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
+	var out []Action
+	for _, h := range helpers[:min(helperCount, len(helpers))] {
+		a := t.send(IndirectProbe, h, sequence)
+		a.Message.Target, a.Message.Address = m.record.Node, m.record.PeerAddress
+		out = append(out, a)
+	}
+	return out
+}
+
+// relay probes a node on behalf of another.
+func (t *Table) relay(now clock.Millis, from ident.NodeID, m Message) []Action {
+	if len(t.relays) >= maxRelays || m.Target == "" || m.Target == t.self.Node {
+		return nil
+	}
+	t.lastProbe++
+	t.relays[t.lastProbe] = relay{requester: from, sequence: m.Sequence, sentAt: now}
+	return []Action{{To: m.Target, Address: m.Address, Message: t.message(Probe, m.Target, t.lastProbe)}}
+}
+
+// acknowledged ends the probe that m answers. A helper's answer names the target.
+func (t *Table) acknowledged(from ident.NodeID, m Message) []Action {
+	target := from
+	if m.Target != "" {
+		target = m.Target
+	}
+	if p := t.probes[target]; p != nil && p.sequence == m.Sequence {
+		delete(t.probes, target)
+	}
+	if r, ok := t.relays[m.Sequence]; ok && m.Target == "" {
+		delete(t.relays, m.Sequence)
+		a := t.reply(ProbeAck, r.requester, r.sequence)
+		a.Message.Target = from
+		return []Action{a}
+	}
+	return nil
+}
+
+// retry tries one random dead member and one seed, so that regions that were
+// apart find each other again.
+func (t *Table) retry(now clock.Millis) []Action {
+	var out []Action
+	if now >= t.nextRetry {
+		t.nextRetry = now + t.jitter(t.config.RetryMillis)
+		var dead []*member
+		for _, m := range t.ordered {
+			if m.record.State == Dead {
+				dead = append(dead, m)
+			}
+		}
+		if len(dead) > 0 {
+			out = append(out, t.send(Probe, dead[t.random.IntN(len(dead))], 0))
+		}
+	}
+	if now >= t.nextSeed {
+		out = append(out, t.trySeed(now)...)
+	}
+	return out
+}
+
+// trySeed probes a seed that is not a live member. A node without members asks it
+// for all records, and does so more often.
+func (t *Table) trySeed(now clock.Millis) []Action {
+	kind, interval := Probe, t.config.RetryMillis
+	if len(t.rings.successors) == 0 {
+		kind, interval = Sync, t.config.JoinMillis
+	}
+	t.nextSeed = now + t.jitter(interval)
+	seed, ok := t.lostSeed()
+	if !ok {
+		return nil
+	}
+	return []Action{{To: seed.Node, Address: seed.Address, Message: t.message(kind, seed.Node, 0)}}
+}
+
+// lostSeed returns a random seed that is not a live member. Live ones need no
+// try, and a connection to a node that is no neighbour costs a handshake.
+func (t *Table) lostSeed() (Seed, bool) {
+	var lost []Seed
+	for _, s := range t.config.Seeds {
+		m := t.members[s.Node]
+		if s.Node != t.self.Node && (m == nil || !m.record.live()) {
+			lost = append(lost, s)
+		}
+	}
+	if len(lost) == 0 {
+		return Seed{}, false
+	}
+	return lost[t.random.IntN(len(lost))], true
+}
+
+// jitter returns d plus or minus a quarter.
+func (t *Table) jitter(d clock.Millis) clock.Millis {
+	return d * clock.Millis(0.75+t.random.Float64()/2)
+}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -38,6 +38,7 @@
 	// Record is what the fleet knows of one node. Only the node itself changes
 	// its fields other than State.
 	Record struct {
+		_    struct{} `cbor:",toarray"`
 		Node ident.NodeID
 		// Incarnation grows with each restart and each refuted suspicion.
 		Incarnation ident.Incarnation
@@ -54,7 +55,11 @@
 		// GateIncarnation names the life of the node's admission gate; requests
 		// addressed to another one are refused as not run.
 		GateIncarnation ident.Incarnation
-		// Held is the highest release version that the node has put in force.
+		// Held is the highest release version that the node has put in force, as
+		// far as it is known. It is a maximum over all lives of the node and no
+		// part of the record's order: neighbours learn it with each probe, others
+		// only along with another change, because a release changes it on every
+		// node at once.
 		Held ident.Version
 	}
 )
@@ -93,3 +98,23 @@
 func (r Record) Routable() bool {
 	return r.TargetState == Ready && (r.State == Alive || r.State == Suspect)
 }
+
+// live reports whether the node counts as a member of the overlay.
+func (r Record) live() bool {
+	return r.State == Alive || r.State == Suspect
+}
+
+// sameLife reports whether r and other differ at most in State and Held.
+func (r Record) sameLife(other Record) bool {
+	return r.Incarnation == other.Incarnation && r.Change == other.Change
+}
+
+// routableFacts returns what callers depend on; the zero value if the node's
+// target takes no requests.
+func (r Record) routableFacts() Record {
+	if !r.Routable() {
+		return Record{}
+	}
+	r.Incarnation, r.State, r.Change, r.Held = 0, Alive, 0, 0
+	return r
+}
--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -42,7 +42,8 @@
 )
 
 // SendControl queues a control message. It never blocks; a message that does not
-// fit in the queue is dropped and counted. It owns body.
+// fit in the queue is dropped and counted. With an empty address it is sent only
+// if there is a connection. It owns body.
 func (t *Transport) SendControl(to ident.NodeID, address string, body []byte) {
 	if len(body) > t.Limits.ControlBytes {
 		t.metrics.dropped.Inc()
@@ -110,6 +111,10 @@
 	if c != nil && !t.watch(s, c) {
 		c = t.controlConnection(s, p.address)
 	}
+	if c == nil && p.address == "" {
+		t.metrics.dropped.Inc()
+		return
+	}
 	if c == nil {
 		t.dropQueue(s)
 		return
@@ -151,7 +156,7 @@
 // controlConnection returns a live control connection: the one dialed before, one
 // that the peer dialed, or a new one. It returns nil if the dial fails.
 func (t *Transport) controlConnection(s *sender, address string) *connection {
-	if s.own != nil && (s.own.quic.Context().Err() != nil || s.address != address) {
+	if s.own != nil && (s.own.quic.Context().Err() != nil || s.address != address && address != "") {
 		t.dropOwn(s)
 	}
 	if s.own != nil {
@@ -163,6 +168,9 @@
 	if c != nil && c.quic.Context().Err() == nil {
 		return c
 	}
+	if address == "" {
+		return nil
+	}
 	c, err := t.dial(s.to, address, controlProtocol)
 	if err != nil {
 		return nil
