io/wire: add the control envelope

Cause: membership and release messages share one kind of stream and must be refused before a state machine sees them if they are out of range. A fuzz target feeds decoded messages to both state machines. Conclusion: the refusal test was seen to fail without the range checks and without the check for exactly one content.

--- a/core/member/message.go
+++ b/core/member/message.go
@@ -27,6 +27,9 @@
 	// bucketBytes is the size of the hash of one bucket. It may be short, since
 	// each Sync hashes with another salt.
 	bucketBytes = 2
+	// maxCounter bounds incarnations and change counts from peers, so that a
+	// refutation can always go above them.
+	maxCounter = 1 << 62
 )
 
 type (
@@ -100,9 +103,15 @@
 		return false
 	}
 	for _, u := range m.Updates {
-		if u.Record.Node == "" || u.Record.State > Left || u.Record.TargetState > TargetLeft {
+		if !u.Record.valid() {
 			return false
 		}
 	}
-	return m.Known.State <= Left
+	return m.Known.State <= Left && m.Known.Incarnation < maxCounter && m.Known.Change < maxCounter
+}
+
+// valid reports whether a record from a peer is in range.
+func (r Record) valid() bool {
+	return r.Node != "" && r.State <= Left && r.TargetState <= TargetLeft &&
+		r.Incarnation < maxCounter && r.Change < maxCounter
 }
--- /dev/null
+++ b/io/wire/control_test.go
@@ -0,0 +1,139 @@
+package wire
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
+	"hickoryrail/core/spread"
+)
+
+// samples returns control messages with every field in use.
+func samples(t testing.TB) []Control {
+	c := model.Configuration{Inventory: model.Inventory{
+		FailureDomains: []model.FailureDomain{{Name: "a", Region: "r"}},
+		Services:       []model.Service{{Name: "orders", Slots: 1, Connections: 10}},
+	}}
+	one, err := model.NewRelease(1, "e", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Rules.Routes = []model.Route{{Name: "r", PathPrefix: "/", Service: "orders", TimeoutMillis: 1000, MaxAttempts: 1}}
+	two, err := model.NewRelease(2, "f", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta := model.MakeDelta(one, two)
+	body := model.EncodeRelease(two)
+	sum := ident.Sum(body)
+	record := member.Record{
+		Node: "n1", Incarnation: 1_700_000_000_000, State: member.Suspect, PeerAddress: "10.0.0.1:7000",
+		FailureDomain: "a", Region: "r", Service: "orders", Target: "t1", TargetState: member.Ready,
+		Change: 3, GateIncarnation: 1_700_000_000_001, Held: 7,
+	}
+	return []Control{
+		{Member: &member.Message{
+			Kind: member.Probe, Sequence: 5, Digest: 1 << 63, Held: 7,
+			Known:   member.Known{Incarnation: 4, Change: 2, State: member.Dead, Held: 6},
+			Updates: []member.Update{{Record: record, Observer: "n2"}},
+		}},
+		{Member: &member.Message{Kind: member.IndirectProbe, Target: "n3", Address: "10.0.0.3:7000"}},
+		{Member: &member.Message{Kind: member.Sync, Sequence: 1 << 60, Buckets: make([]byte, 512)}},
+		{Spread: &spread.Message{
+			Kind: spread.DeltaBody, Version: 2, Digest: two.Digest, Delta: &delta,
+			Pulses: []spread.Pulse{{Region: "r", Epoch: 1, Count: 9}},
+		}},
+		{Spread: &spread.Message{Kind: spread.SnapshotBody, Version: 2, Digest: two.Digest, Body: body, Sum: sum[:]}},
+	}
+}
+
+// TestControlRoundTrip guards against fields that get lost on the way.
+func TestControlRoundTrip(t *testing.T) {
+	is := is.New(t)
+	for _, c := range samples(t) {
+		body, err := EncodeControl(c)
+		is.NoErr(err)
+		got, err := DecodeControl(body)
+		is.NoErr(err)
+		is.True(reflect.DeepEqual(got, c))
+		_, err = DecodeControl(append(body, 0))
+		is.True(err != nil) // trailing bytes
+		_, err = DecodeControl(body[:len(body)-1])
+		is.True(err != nil) // cut short
+	}
+}
+
+// TestControlRefuses guards against messages that a state machine must not see.
+func TestControlRefuses(t *testing.T) {
+	is := is.New(t)
+	long := ident.NodeID(strings.Repeat("x", maxText+1))
+	for _, c := range []Control{
+		{},
+		{Member: &member.Message{}, Spread: &spread.Message{}},
+		{Member: &member.Message{Kind: 77}},
+		{Member: &member.Message{Kind: member.Sync, Buckets: make([]byte, 3)}},
+		{Member: &member.Message{Updates: []member.Update{{Record: member.Record{State: member.Left + 1, Node: "a"}}}}},
+		{Member: &member.Message{Updates: []member.Update{{Record: member.Record{Node: long}}}}},
+		{Member: &member.Message{Updates: []member.Update{{Record: member.Record{Node: "a", Incarnation: 1<<64 - 1}}}}},
+		{Spread: &spread.Message{Kind: 77}},
+	} {
+		_, err := EncodeControl(c)
+		is.True(err != nil)
+		body, err := Encode(c)
+		is.NoErr(err)
+		_, err = DecodeControl(body)
+		is.True(err != nil)
+	}
+	_, err := DecodeControl(make([]byte, MaxControlBytes+1))
+	is.True(err != nil)
+}
+
+// FuzzControl guards against input that makes the decoder or the state machines
+// fail, and against an accepted message that does not encode to the same bytes.
+func FuzzControl(f *testing.F) {
+	for _, c := range samples(f) {
+		body, err := EncodeControl(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := DecodeControl(body)
+		if err != nil {
+			return
+		}
+		again, err := EncodeControl(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := DecodeControl(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if third, err := EncodeControl(second); err != nil || !bytes.Equal(again, third) {
+			t.Fatalf("encoding is not stable: %v", err)
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		now := clock.Second
+		if c.Member != nil {
+			table := member.New(member.Record{Node: "n9", Incarnation: 1}, member.DefaultConfig(), random)
+			table.Receive(now, "n8", *c.Member)
+			table.Tick(now + clock.Minute)
+			table.Records()
+			return
+		}
+		node := spread.New(spread.DefaultConfig(), random)
+		node.SetNeighbours(now, []spread.Neighbour{{Node: "n8"}})
+		node.Receive(now, "n8", *c.Spread)
+		node.Tick(now + clock.Minute)
+	})
+}
