core/route: give stale targets a call, and test the picker's properties

Cause: the property test showed that a far target gets no call at all while calls do not overlap, because the nearer one wins every comparison of equal delays; and that two false reports and a far region together favour a slow target that claims to be idle (684 of 2000 calls among 3). Change: a target without a call for StaleMillis (20 s) wins its next comparison; a report weighs at most 2 and another region 2, before 3 and 3. Add property tests for calls in flight, the ejection floor, exclusion, starvation and false reports.

--- a/core/route/evidence.go
+++ b/core/route/evidence.go
@@ -18,7 +18,7 @@
 	failureFactor = 10
 	// maxReport bounds the part that a report adds to the score, so that a gate
 	// that overstates its load still gets calls.
-	maxReport = 3
+	maxReport = 2
 )
 
 type (
@@ -43,6 +43,8 @@
 		leftAt  clock.Millis
 		// inFlight counts picks without Done; never negative.
 		inFlight int
+		// chosenAt is the instant of the last pick.
+		chosenAt clock.Millis
 		// delay is the moving average of answered calls; 0 before the first one.
 		delay clock.Millis
 		// failures is the moving average of failed (1) and answered (0) calls.
@@ -65,8 +67,9 @@
 )
 
 // choose counts a call in flight.
-func (e *evidence) choose(reason string) Choice {
+func (e *evidence) choose(now clock.Millis, reason string) Choice {
 	e.inFlight++
+	e.chosenAt = now
 	return Choice{Target: e.target, Reason: reason}
 }
 
@@ -127,6 +130,12 @@
 	return 0.1 + 0.9*float64(max(age, 0)/p.Limits.SlowStartMillis)
 }
 
+// stale reports whether a target needs a call to show its present state. A far
+// or slow target would otherwise get none while calls do not overlap.
+func (p *Picker) stale(now clock.Millis, e *evidence) bool {
+	return e.inFlight == 0 && now-e.chosenAt >= p.Limits.StaleMillis
+}
+
 // score returns the expected cost of one more call, without regard to distance.
 func (p *Picker) score(now clock.Millis, g *group, e *evidence) float64 {
 	base := g.delay
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -30,6 +30,8 @@
 	ReasonDomain = "nearer failure domain"
 	// ReasonSlowStart marks a candidate that won because the other one is new.
 	ReasonSlowStart = "other candidate is in slow start"
+	// ReasonStale marks a candidate that had no call for long.
+	ReasonStale = "no recent call"
 	// ReasonNoTargets says that the service has no targets.
 	ReasonNoTargets = "service has no targets"
 	// ReasonExhausted says that every target left is excluded or ejected.
@@ -53,6 +55,9 @@
 		ReportMillis clock.Millis
 		// IdleMillis is the time without calls after which own evidence counts half.
 		IdleMillis clock.Millis
+		// StaleMillis is the time without calls after which a target gets one
+		// whatever its score.
+		StaleMillis clock.Millis
 		// DomainFactor multiplies the score of a target in another failure domain.
 		DomainFactor float64
 		// RegionFactor multiplies the score of a target in another region.
@@ -120,7 +125,8 @@
 	return Limits{
 		Subset: MaxSubset, EjectAfter: 5, EjectMillis: clock.Second, EjectMaxMillis: clock.Minute,
 		SlowStartMillis: 10 * clock.Second, ReportMillis: clock.Second, IdleMillis: 5 * clock.Second,
-		DomainFactor: 1.25, RegionFactor: 3,
+		StaleMillis:  20 * clock.Second,
+		DomainFactor: 1.25, RegionFactor: 2,
 	}
 }
 
@@ -163,7 +169,7 @@
 		e := p.targets[t.ID]
 		switch {
 		case e == nil:
-			e = &evidence{started: now, seenAt: now}
+			e = &evidence{started: now, seenAt: now, chosenAt: now}
 			if established {
 				// Without established targets to prefer there is nothing to ramp up against.
 				e.started = now - p.Limits.SlowStartMillis
@@ -227,7 +233,7 @@
 	case 0:
 		return Choice{Reason: ReasonExhausted}, false
 	case 1:
-		return open[0].choose(ReasonOnly), true
+		return open[0].choose(now, ReasonOnly), true
 	}
 	i := p.Rand.IntN(n)
 	j := p.Rand.IntN(n - 1)
@@ -246,19 +252,25 @@
 		inA, inB := p.Rand.Float64() < wa, p.Rand.Float64() < wb
 		switch {
 		case inA && !inB:
-			return a.choose(ReasonSlowStart)
+			return a.choose(now, ReasonSlowStart)
 		case inB && !inA:
-			return b.choose(ReasonSlowStart)
+			return b.choose(now, ReasonSlowStart)
 		}
 	}
+	if staleA, staleB := p.stale(now, a), p.stale(now, b); staleA != staleB {
+		if staleA {
+			return a.choose(now, ReasonStale)
+		}
+		return b.choose(now, ReasonStale)
+	}
 	sa, sb := p.score(now, g, a), p.score(now, g, b)
 	if sb*b.factor < sa*a.factor {
 		a, b, sa, sb = b, a, sb, sa
 	}
 	if sa > sb {
-		return a.choose(ReasonDomain)
+		return a.choose(now, ReasonDomain)
 	}
-	return a.choose(ReasonScore)
+	return a.choose(now, ReasonScore)
 }
 
 // Done ends a call and takes its outcome as evidence. A target without calls in
@@ -322,6 +334,7 @@
 	orDefault(&l.SlowStartMillis, d.SlowStartMillis)
 	orDefault(&l.ReportMillis, d.ReportMillis)
 	orDefault(&l.IdleMillis, d.IdleMillis)
+	orDefault(&l.StaleMillis, d.StaleMillis)
 	orDefault(&l.DomainFactor, d.DomainFactor)
 	orDefault(&l.RegionFactor, d.RegionFactor)
 	l.Subset = min(l.Subset, MaxSubset)
--- /dev/null
+++ b/core/route/picker_property_test.go
@@ -0,0 +1,242 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hickoryrail/core/admit"
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/result"
+	"hickoryrail/core/view"
+)
+
+// outcomes draws an outcome of any kind.
+func outcomes(t *rapid.T) Outcome {
+	return Outcome{
+		Delay: clock.Millis(rapid.Float64Range(0, 500).Draw(t, "Delay")), Verdict: result.Verdict(rapid.IntRange(0, 2).Draw(t, "Verdict")),
+		Failed: rapid.Bool().Draw(t, "Failed"), HasLoad: rapid.Bool().Draw(t, "HasLoad"),
+		Load: admit.Load{Free: rapid.IntRange(-1, 9).Draw(t, "Free"), Queued: rapid.IntRange(-1, 1000).Draw(t, "Queued")},
+		Gate: ident.Incarnation(rapid.IntRange(0, 3).Draw(t, "Gate")),
+	}
+}
+
+// drawView draws which of 24 targets are present and the life of their gates.
+func drawView(t *rapid.T, gates []ident.Incarnation) (*view.View, []member.Record) {
+	var records []member.Record
+	for i := range gates {
+		if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+			gates[i]++
+		}
+		if rapid.IntRange(0, 3).Draw(t, "present") > 0 {
+			records = append(records, record("orders", i, gates[i]))
+		}
+	}
+	return viewOf(records...), records
+}
+
+// TestGeneratedEvents guards against calls in flight that are lost or counted
+// twice, ejections beyond the floor, and choices outside the view or in exclude.
+func TestGeneratedEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPicker(rapid.Uint64().Draw(t, "seed"))
+		p.Limits.EjectAfter = rapid.IntRange(1, 5).Draw(t, "EjectAfter")
+		bad := rapid.Bool().Draw(t, "bad")
+		gates := make([]ident.Incarnation, rapid.IntRange(1, 24).Draw(t, "targets"))
+		now := clock.Millis(0)
+		v, records := drawView(t, gates)
+		p.SetView(now, v)
+		var open []ident.TargetID
+		oracle := map[ident.TargetID]int{}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now += clock.Millis(rapid.Float64Range(0, 400).Draw(t, "pause"))
+			if rapid.IntRange(0, 49).Draw(t, "long") == 0 {
+				now += 2 * p.Limits.EjectMaxMillis
+			}
+			switch step := rapid.IntRange(0, 9).Draw(t, "step"); {
+			case step == 0:
+				v, records = drawView(t, gates)
+				p.SetView(now, v)
+			case step < 6 || len(open) == 0:
+				var exclude []ident.TargetID
+				if len(records) > 0 && rapid.Bool().Draw(t, "excludes") {
+					exclude = append(exclude, records[rapid.IntRange(0, len(records)-1).Draw(t, "exclude")].Target)
+				}
+				c, ok := p.Pick(now, "orders", exclude)
+				if !ok && len(exclude) == 0 && len(records) > 0 {
+					t.Fatalf("no choice among %d targets: %s", len(records), c.Reason)
+				}
+				if ok {
+					checkChoice(t, c, records, exclude)
+					open = append(open, c.Target.ID)
+					oracle[c.Target.ID]++
+				}
+			default:
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "done")
+				o := outcomes(t)
+				if bad && index(open[i])%4 > 0 {
+					o.Failed, o.Gate = true, 0
+				}
+				p.Done(now, open[i], o)
+				oracle[open[i]]--
+				open = append(open[:i], open[i+1:]...)
+			}
+			checkState(t, p, oracle)
+		}
+		for _, id := range open {
+			p.Done(now, id, outcomes(t))
+			p.Done(now, "unknown", outcomes(t))
+			oracle[id]--
+		}
+		checkState(t, p, oracle)
+		p.SetView(now, viewOf())
+		p.SetView(now+p.Limits.EjectMaxMillis+1, viewOf())
+		if len(p.targets) > 0 {
+			t.Fatalf("evidence of %d targets is kept for ever", len(p.targets))
+		}
+	})
+}
+
+// checkChoice fails unless the target is in the view, with its present gate, and
+// not excluded.
+func checkChoice(t *rapid.T, c Choice, records []member.Record, exclude []ident.TargetID) {
+	if len(exclude) > 0 && exclude[0] == c.Target.ID {
+		t.Fatalf("excluded target %s was chosen", c.Target.ID)
+	}
+	for _, r := range records {
+		if r.Target == c.Target.ID && r.GateIncarnation == c.Target.Gate {
+			return
+		}
+	}
+	t.Fatalf("target %s is not in the view", c.Target.ID)
+}
+
+// checkState compares calls in flight with the oracle and the ejections with the
+// floor.
+func checkState(t *rapid.T, p *Picker, oracle map[ident.TargetID]int) {
+	for id, n := range oracle {
+		if p.InFlight(id) != n {
+			t.Fatalf("%s has %d calls in flight, want %d", id, p.InFlight(id), n)
+		}
+	}
+	for _, g := range p.services {
+		if 2*ejected(g) > len(g.candidates) {
+			t.Fatalf("%d of %d targets are ejected", ejected(g), len(g.candidates))
+		}
+	}
+}
+
+// TestEveryTargetGetsTrafficAgain guards against starving a target that was slow,
+// failed, refused, lied or restarted, once it is healthy.
+func TestEveryTargetGetsTrafficAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPicker(rapid.Uint64().Draw(t, "seed"))
+		n := rapid.IntRange(2, 16).Draw(t, "targets")
+		p.SetView(0, viewSize(n))
+		now := clock.Millis(0)
+		faults := make([]Outcome, n)
+		for i := range faults {
+			faults[i] = outcomes(t)
+			faults[i].Gate = 0
+		}
+		send := func(healthy bool) ident.TargetID {
+			now += 20
+			c, ok := p.Pick(now, "orders", nil)
+			if !ok {
+				t.Fatal("service was emptied")
+			}
+			o := Outcome{Delay: 10, Verdict: result.Ran}
+			if !healthy {
+				o = faults[index(c.Target.ID)]
+			}
+			p.Done(now, c.Target.ID, o)
+			return c.Target.ID
+		}
+		for range rapid.IntRange(0, 1000).Draw(t, "faulty") {
+			send(false)
+		}
+		seen := map[ident.TargetID]int{}
+		for end := now + 2*p.Limits.EjectMaxMillis; now < end; {
+			seen[send(true)]++
+		}
+		if len(seen) != n {
+			t.Fatalf("%d of %d targets got calls", len(seen), n)
+		}
+		for id, calls := range seen {
+			if calls < 4 { // one each StaleMillis, less one for an ejection
+				t.Fatalf("%s got %d calls", id, calls)
+			}
+		}
+	})
+}
+
+// index returns the number in a target's id.
+func index(id ident.TargetID) int {
+	var i int
+	_, _ = fmt.Sscanf(string(id), "orders-%d", &i)
+	return i
+}
+
+// TestLiarDoesNotWin guards against a report that outweighs own evidence: a slow
+// target that claims to be idle must not get more than its even share, and a
+// fast one that claims to be full must still get calls.
+func TestLiarDoesNotWin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPicker(rapid.Uint64().Draw(t, "seed"))
+		n := rapid.IntRange(3, 16).Draw(t, "targets")
+		p.SetView(0, viewSize(n))
+		calls := make([]int, n)
+		now := clock.Millis(0)
+		for range 2000 {
+			now += 5
+			c, _ := p.Pick(now, "orders", nil)
+			i := index(c.Target.ID)
+			calls[i]++
+			o := Outcome{Delay: 10, Verdict: result.Ran, HasLoad: true, Load: admit.Load{Free: 3}}
+			switch i {
+			case 0:
+				o.Delay, o.Load = 60, admit.Load{Free: 1 << 30}
+			case 1:
+				o.Load = admit.Load{Queued: 1 << 30}
+			}
+			p.Done(now, c.Target.ID, o)
+		}
+		if calls[0] > 2000/n {
+			t.Fatalf("slow target that claims to be idle got %d of 2000 calls among %d", calls[0], n)
+		}
+		if calls[1] < 2000/n/20 {
+			t.Fatalf("fast target that claims to be full got %d of 2000 calls among %d", calls[1], n)
+		}
+	})
+}
+
+// TestPickAllocatesNothing guards against garbage on the request path.
+func TestPickAllocatesNothing(t *testing.T) {
+	p := newPicker(1)
+	p.SetView(0, viewSize(790))
+	exclude := []ident.TargetID{"orders-01", "orders-02"}
+	allocations := testing.AllocsPerRun(1000, func() {
+		c, _ := p.Pick(5, "orders", exclude)
+		p.Done(6, c.Target.ID, Outcome{Delay: 3, Verdict: result.Ran})
+	})
+	if allocations > 0 {
+		t.Fatalf("%v allocations", allocations)
+	}
+}
+
+// BenchmarkPick measures one choice and its outcome with 790 members.
+func BenchmarkPick(b *testing.B) {
+	p := newPicker(1)
+	p.SetView(0, viewSize(790))
+	p.Rand = rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	for i := range b.N {
+		now := clock.Millis(i)
+		c, _ := p.Pick(now, "orders", nil)
+		p.Done(now, c.Target.ID, Outcome{Delay: 3, Verdict: result.Ran})
+	}
+}
