core/once: never run a copy of a request that a full fence refused

Change: refused ids go into a Bloom filter of two generations in constant memory; a false hit refuses as not run.

--- a/core/once/fence.go
+++ b/core/once/fence.go
@@ -85,6 +85,9 @@
 		kept queue[ident.RequestID]
 		// bytes is the size of all kept responses, at most MaxBytes.
 		bytes ident.Bytes
+		// refused holds the ids that were refused or voided while records was
+		// full, so that a later copy of them does not run either.
+		refused filter
 	}
 
 	// record is what is known of one request id.
@@ -105,6 +108,10 @@
 // Arrive decides on a request that is addressed to a gate. It answers Run at
 // most once per id, and the caller then calls Finish for it. The id must not
 // share memory that is reused.
+//
+// NotRun for another gate holds only if all copies of a request arrive at one
+// life of a gate: the sender must not send a request again on a new connection.
+// It voids the request and sends a new id instead.
 func (f *Fence) Arrive(now clock.Millis, gate ident.Incarnation, id ident.RequestID) Answer {
 	f.Tick(now)
 	if gate != f.Gate {
@@ -113,7 +120,11 @@
 	if r := f.records[id]; r != nil {
 		return r.answer()
 	}
+	if f.refused.has(now, f.keepMillis(), id) {
+		return Answer{Kind: Refuse, Verdict: result.NotRun, Reason: ReasonRefused}
+	}
 	if len(f.records) >= f.maxRecords() {
+		f.refused.add(now, f.keepMillis(), id)
 		return Answer{Kind: Refuse, Verdict: result.NotRun, Reason: ReasonFull}
 	}
 	f.put(id, &record{phase: running})
@@ -121,8 +132,8 @@
 }
 
 // Void makes an id that was not seen never run and answers NotRun. For an id
-// that was seen it answers like a duplicate. A void that cannot be recorded, or
-// that is for another life of the gate, is MayHaveRun.
+// that was seen it answers like a duplicate. A void for another life of the gate
+// is MayHaveRun.
 func (f *Fence) Void(now clock.Millis, gate ident.Incarnation, id ident.RequestID) Answer {
 	f.Tick(now)
 	if gate != f.Gate {
@@ -132,7 +143,8 @@
 		return r.answer()
 	}
 	if len(f.records) >= f.maxRecords() {
-		return Answer{Kind: Refuse, Verdict: result.MayHaveRun, Reason: ReasonFull}
+		f.refused.add(now, f.keepMillis(), id)
+		return Answer{Kind: Refuse, Verdict: result.NotRun, Reason: ReasonVoided}
 	}
 	r := &record{phase: voided}
 	f.put(id, r)
@@ -191,11 +203,15 @@
 
 // expire starts the time after which an id is forgotten.
 func (f *Fence) expire(now clock.Millis, id ident.RequestID) {
-	keep := f.KeepMillis
-	if keep <= 0 {
-		keep = DefaultKeepMillis
+	f.expiring.push(expiry{id: id, at: now + f.keepMillis()})
+}
+
+// keepMillis returns KeepMillis or its default.
+func (f *Fence) keepMillis() clock.Millis {
+	if f.KeepMillis <= 0 {
+		return DefaultKeepMillis
 	}
-	f.expiring.push(expiry{id: id, at: now + keep})
+	return f.KeepMillis
 }
 
 // drop removes the oldest responses above the bound; their ids stay.
