--- a/io/bench/bench_test.go
+++ b/io/bench/bench_test.go
@@ -41,3 +41,49 @@
 		}
 	}
 }
+
+// cell returns a number of a table.
+func cell(t *testing.T, table *Table, row, column int) float64 {
+	t.Helper()
+	v, err := strconv.ParseFloat(table.Rows[row][column], 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestRetryAmplification guards against a policy under which a chain that is not
+// idempotent executes a call twice.
+func TestRetryAmplification(t *testing.T) {
+	table := RetryAmplification()
+	show(t, table)
+	for _, i := range []int{4, 14} {
+		if n := cell(t, table, i, 3); table.Rows[i][1] != "false" || n > 1 {
+			t.Fatalf("%v", table.Rows[i])
+		}
+	}
+}
+
+// TestSilentConnection guards against a watch that finds silence no sooner than
+// the idle timeout.
+func TestSilentConnection(t *testing.T) {
+	table := SilentConnection()
+	show(t, table)
+	for i := 0; i < len(table.Rows); i += 4 {
+		if idle, watch := cell(t, table, i, 3), cell(t, table, i+1, 3); watch*2 > idle {
+			t.Fatalf("idle timeout %f ms, watch %f ms", idle, watch)
+		}
+	}
+}
+
+// TestCosts guards against allocations on the request path.
+func TestCosts(t *testing.T) {
+	table := PickCost()
+	show(t, table)
+	for i := range 3 {
+		if n := cell(t, table, i, 2); n > 0 {
+			t.Fatalf("%v", table.Rows[i])
+		}
+	}
+	show(t, FenceCost())
+}
