Count waits of the decision log and refused credentials

Cause: a log collector that is too slow makes requests wait, and guessed credentials are refused, but neither showed in the metrics. Change: DecisionLog.Register adds hickoryrail_decisions_total and hickoryrail_decision_waits_total; Operators has a Registry for hickoryrail_operator_unauthorized_total. The test of the log opens its writer only once a small ring has filled, so each run meets a full ring. Seen to fail on broken versions: a stop that leaves the ring, Record after the stop that drops, refused credentials that are not counted.

--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -15,6 +15,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"hickoryrail/core/clock"
@@ -43,6 +44,7 @@
 		out    Outcome
 		// entered and release, if set, hold up Submit.
 		entered, release chan struct{}
+		metrics          *prometheus.Registry
 	}
 )
 
@@ -142,6 +144,7 @@
 // operators starts the operators' server on f.
 func operators(t *testing.T, f *fake) string {
 	t.Helper()
+	f.metrics = prometheus.NewRegistry()
 	directory := t.TempDir()
 	if _, err := keys.CreateFleet(directory, []ident.NodeID{"a1"}); err != nil {
 		t.Fatal(err)
@@ -152,6 +155,7 @@
 	}
 	return "https://" + start(t, &Operators{
 		Listen: "127.0.0.1:0", Certificate: identity.Certificate, Credential: ident.Sum([]byte(token)), Control: f, Source: f,
+		Registry: f.metrics,
 	})
 }
 
@@ -260,6 +264,9 @@
 	is.Equal(len(f.calls), 0)
 	code, _ := do(t, "GET", base+"/status", "Bearer "+token, "")
 	is.Equal(code, 200)
+	families, err := f.metrics.Gather()
+	is.NoErr(err)
+	is.Equal(families[0].GetMetric()[0].GetCounter().GetValue(), 30.0) // each refusal counts
 }
 
 // TestEdits guards against a malformed edit that is passed on and against an
--- a/io/admin/operator.go
+++ b/io/admin/operator.go
@@ -8,12 +8,14 @@
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
 	"hickoryrail/io/keys"
+	"hickoryrail/io/stats"
 )
 
 const (
@@ -125,12 +127,24 @@
 		Credential ident.Digest
 		Control    EditControl
 		Source     StatusSource
+		// Registry takes the counter of refused credentials; nil keeps it private.
+		Registry prometheus.Registerer
+
+		unauthorized prometheus.Counter
 		server
 	}
 )
 
 // Open binds the address.
 func (o *Operators) Open() error {
+	o.unauthorized = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: stats.Namespace, Name: "operator_unauthorized_total", Help: "Operators' requests with a missing or wrong credential.",
+	})
+	if o.Registry != nil {
+		if err := o.Registry.Register(o.unauthorized); err != nil {
+			return err
+		}
+	}
 	app := newApp(operatorBodyBytes)
 	app.Use(o.authorize)
 	app.Post("/edits", o.edit)
@@ -147,6 +161,7 @@
 func (o *Operators) authorize(c *fiber.Ctx) error {
 	token, found := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	if !keys.Matches(o.Credential, token) || !found || token == "" {
+		o.unauthorized.Inc()
 		c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
 		return fiber.NewError(fiber.StatusUnauthorized, "unauthorized")
 	}
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/result"
 )
@@ -33,6 +35,9 @@
 	stopping bool
 	// stopped is true once Run has emptied the ring for the last time.
 	stopped bool
+	// recorded and waits count the decisions that passed the filter and those of
+	// them that found the ring full.
+	recorded, waits uint64
 }
 
 // NewDecisionLog returns a log with a ring of capacity decisions, at least one,
@@ -48,16 +53,36 @@
 	return l
 }
 
-// Record copies d into the ring. It waits while the ring is full.
+// Register registers the log's counters.
+func (l *DecisionLog) Register(r prometheus.Registerer) error {
+	count := func(name, help string, n *uint64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "hickoryrail_" + name, Help: help}, func() float64 {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return float64(*n)
+		})
+	}
+	return errors.Join(
+		r.Register(count("decisions_total", "Decisions that were logged.", &l.recorded)),
+		r.Register(count("decision_waits_total", "Decisions that waited because the log's ring was full.", &l.waits)),
+	)
+}
+
+// Record copies d into the ring. It waits while the ring is full, so Run must be
+// running before more decisions than fit are recorded.
 func (l *DecisionLog) Record(d Decision) {
 	if !l.filter.Passes(&d) {
 		return
 	}
 	l.mu.Lock()
+	if l.count == len(l.ring) && !l.stopped {
+		l.waits++
+	}
 	for l.count == len(l.ring) && !l.stopped {
 		l.notFull.Wait()
 	}
 	if l.stopped {
+		l.recorded++
 		l.mu.Unlock()
 		l.write(&d)
 		return
@@ -68,6 +93,7 @@
 	}
 	l.ring[i] = d
 	l.count++
+	l.recorded++
 	wake := l.waiting
 	l.waiting = false
 	l.mu.Unlock()
--- a/io/logs/record_test.go
+++ b/io/logs/record_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
@@ -30,6 +32,13 @@
 	return g.buf.Write(p)
 }
 
+// waiters returns how many decisions have found the ring full.
+func (l *DecisionLog) waiters() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waits
+}
+
 // TestRecordLosesNoLine guards against a line that is lost or repeated when many
 // writers meet a full ring, and against a line that is left behind at the stop.
 func TestRecordLosesNoLine(t *testing.T) {
@@ -45,6 +54,7 @@
 	const writers, lines = 8, 200
 	w := &gated{open: make(chan struct{})}
 	l := NewDecisionLog(New(w, log.ErrorLevel), All, capacity)
+	is.NoErr(l.Register(prometheus.NewRegistry()))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan error, 1)
@@ -60,6 +70,12 @@
 			}
 		})
 	}
+	// The writer holds one batch while the gate is closed, so a ring that cannot
+	// take the rest fills.
+	fills := capacity+maxBatch < writers*lines
+	for fills && l.waiters() == 0 {
+		runtime.Gosched()
+	}
 	close(w.open)
 	wg.Wait()
 	is.NoErr(<-ended)
@@ -77,6 +93,8 @@
 		last[writer] = attempt
 	}
 	is.Equal(len(seen), writers*lines)
+	is.Equal(l.recorded, uint64(writers*lines))
+	is.Equal(l.waits > 0, fills)
 	for id, n := range seen {
 		if n != 1 {
 			t.Fatalf("line %s was written %d times", id, n)
