Wire the whole path into a node and show it in a demo

Cause: the decisions and the servers existed side by side; no request went from a caller through two nodes to a target, and no release from an operator to all nodes. Change: io/node registers the parts as services of the kernel: one serializer for membership and distribution, the region's reader with its lease, the floor at start, the target's renewals, edits and status. io/target is a stand-in target, io/demo a fleet in one process. Budget.Return gives back the token of a hedge that found no target.

--- a/cmd/hickoryrail/main.go
+++ b/cmd/hickoryrail/main.go
@@ -2,11 +2,39 @@
 package main
 
 import (
+	"context"
+	"flag"
+	"io"
 	"os"
 
 	"hickoryrail/io/cmds"
+	"hickoryrail/io/demo"
+	"hickoryrail/io/node"
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, cmds.Backends{}))
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, cmds.Backends{
+		Node: node.Run,
+		Demo: demoBackend(),
+	}))
+}
+
+// demoBackend runs the demonstration; the nodes' log lines go to a file if one
+// is named.
+func demoBackend() cmds.Backend {
+	var path string
+	return cmds.Backend{
+		Flags: func(f *flag.FlagSet) { f.StringVar(&path, "log", "", "`file` for the log lines of the nodes") },
+		Run: func(ctx context.Context, stdout io.Writer, _ []string) error {
+			if path == "" {
+				return demo.Run(ctx, stdout, io.Discard)
+			}
+			f, err := os.Create(path)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			return demo.Run(ctx, stdout, f)
+		},
+	}
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -52,6 +52,11 @@
 	return true
 }
 
+// Return gives back n tokens of an attempt that was not made.
+func (b *Budget) Return(n float64) {
+	b.add(n)
+}
+
 // Tokens returns the tokens at now.
 func (b *Budget) Tokens(now clock.Millis) float64 {
 	b.fill(now)
--- /dev/null
+++ b/io/demo/callers.go
@@ -0,0 +1,87 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/result"
+
+	"hickoryrail/io/target"
+)
+
+// callTimeout bounds one call of a caller; it is above every route's timeout.
+const callTimeout = 5 * time.Second
+
+// verdictHeader tells callers whether a request may have run.
+const verdictHeader = "Hickoryrail-Verdict"
+
+// Callers send calls to the nodes until their context ends.
+type Callers struct {
+	// Addresses are the nodes' caller addresses.
+	Addresses []string
+	// Count is the number of callers, each with one call at a time.
+	Count int
+	// Pause is the time between the calls of one caller.
+	Pause time.Duration
+	// MaxCalls bounds the calls of one caller.
+	MaxCalls int
+	Ledger   *Ledger
+}
+
+// Run sends calls until ctx ends or the bound is reached. A call that has begun
+// is finished.
+func (c *Callers) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	for i := range c.Count {
+		wg.Go(func() { c.caller(ctx, i) })
+	}
+	wg.Wait()
+}
+
+// caller sends the calls of one caller, two actions to each check.
+func (c *Callers) caller(ctx context.Context, i int) {
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	for n := range c.MaxCalls {
+		if ctx.Err() != nil {
+			return
+		}
+		address := c.Addresses[(i+n)%len(c.Addresses)]
+		action := fmt.Sprintf("caller-%d-call-%d", i, n)
+		if n%3 == 0 {
+			c.call(client, fasthttp.MethodGet, address, "/catalogue/items", action)
+		} else {
+			c.call(client, fasthttp.MethodPost, address, "/orders", action)
+		}
+		time.Sleep(c.Pause)
+	}
+}
+
+// call sends one call and records its outcome. A check that was retried may run
+// more than once, so only actions are counted at the targets.
+func (c *Callers) call(client *fasthttp.Client, method, address, path, action string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(method)
+	outcome := Call{}
+	if method == fasthttp.MethodPost {
+		outcome.Action = action
+		request.Header.Set(target.ActionHeader, action)
+		request.SetBodyString(action)
+	}
+	err := client.DoTimeout(request, response, callTimeout)
+	if err != nil {
+		outcome.Verdict = result.MayHaveRun
+		c.Ledger.Add(outcome)
+		return
+	}
+	outcome.Verdict, _ = result.ParseVerdict(string(response.Header.Peek(verdictHeader)))
+	outcome.Answered = outcome.Verdict == result.Ran
+	outcome.Crossed = outcome.Answered && method == fasthttp.MethodPost && string(response.Body()) != action
+	c.Ledger.Add(outcome)
+}
--- /dev/null
+++ b/io/demo/fleet.go
@@ -0,0 +1,189 @@
+// Package demo provides a whole fleet in one process: the platform stand-in, nodes
+// in three failure domains, targets of two services and callers.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/io/admin"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/keys"
+	"hickoryrail/io/node"
+	"hickoryrail/io/stub"
+	"hickoryrail/io/target"
+)
+
+// loopback is a free port on the loopback interface.
+const loopback = "127.0.0.1:0"
+
+type (
+	// Fleet is a platform stand-in with nodes and a target beside each node.
+	Fleet struct {
+		// Nodes is the number of nodes; even ones are beside targets of the
+		// first service, odd ones beside targets of the second.
+		Nodes int
+		// Domains and Services name the failure domains and services.
+		Domains  []ident.FailureDomain
+		Services []ident.ServiceName
+		// DelayMillis is how long each request takes at a target.
+		DelayMillis clock.Millis
+		// RoundMillis is the setting Spread.RoundMillis of each node.
+		RoundMillis clock.Millis
+		// Output takes the log lines of the nodes.
+		Output io.Writer
+
+		directory string
+		platform  *stub.Server
+		nodes     []*node.Node
+		targets   []*target.Server
+		// stops ends the run of each target.
+		stops  []context.CancelFunc
+		wg     conc.WaitGroup
+		cancel context.CancelFunc
+	}
+)
+
+// Start starts the platform, the nodes and the targets.
+func (f *Fleet) Start(ctx context.Context) error {
+	ctx, f.cancel = context.WithCancel(ctx)
+	directory, err := os.MkdirTemp("", "hickoryrail-demo-")
+	if err != nil {
+		return eris.Wrap(err, "demo: key directory")
+	}
+	f.directory = directory
+	names := make([]ident.NodeID, f.Nodes)
+	for i := range names {
+		names[i] = ident.NodeID(fmt.Sprintf("node-%d", i+1))
+	}
+	if _, err := keys.CreateFleet(directory, names); err != nil {
+		return eris.Wrap(err, "demo: keys")
+	}
+	f.platform = &stub.Server{Listen: loopback}
+	if err := f.platform.Open(); err != nil {
+		return eris.Wrap(err, "demo: platform")
+	}
+	f.wg.Go(func() { _ = f.platform.Run(ctx) })
+	for i, name := range names {
+		if err := f.startNode(ctx, i, name); err != nil {
+			return eris.Wrapf(err, "demo: %s", name)
+		}
+		if err := f.startTarget(ctx, i); err != nil {
+			return eris.Wrapf(err, "demo: target of %s", name)
+		}
+	}
+	return nil
+}
+
+// startNode starts one node with the earlier ones as seeds.
+func (f *Fleet) startNode(ctx context.Context, i int, name ident.NodeID) error {
+	settings, err := conf.Parse(f.settings(i, name))
+	if err != nil {
+		return err
+	}
+	n, err := node.New(settings, f.Output)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	f.nodes = append(f.nodes, n)
+	return nil
+}
+
+// settings returns the settings file of one node.
+func (f *Fleet) settings(i int, name ident.NodeID) string {
+	seeds := ""
+	if i > 0 {
+		seeds = fmt.Sprintf("%q", fmt.Sprintf("%s@%s", f.nodes[0].ID(), f.nodes[0].PeerAddress()))
+	}
+	return fmt.Sprintf(`
+Node = %q
+FailureDomain = %q
+Region = "attica"
+Service = %q
+Target = %q
+CallerAddress = %q
+TargetAddress = %q
+AdminAddress = %q
+OperatorAddress = %q
+PeerAddress = %q
+PlatformURL = %q
+KeyDirectory = %q
+Seeds = [%s]
+[Spread]
+RoundMillis = %d
+`, name, f.Domains[i%len(f.Domains)], f.service(i), f.targetID(i),
+		loopback, loopback, loopback, loopback, loopback,
+		"http://"+f.platform.Address(), f.directory, seeds, int(f.RoundMillis))
+}
+
+// service returns the service of the target beside node i.
+func (f *Fleet) service(i int) ident.ServiceName {
+	return f.Services[i%len(f.Services)]
+}
+
+// targetID returns the id of the target beside node i.
+func (f *Fleet) targetID(i int) ident.TargetID {
+	return ident.TargetID(fmt.Sprintf("%s-%d", f.service(i), i/len(f.Services)+1))
+}
+
+// startTarget starts the target beside node i.
+func (f *Fleet) startTarget(ctx context.Context, i int) error {
+	t := &target.Server{
+		ID: f.targetID(i), Service: f.service(i), Listen: loopback,
+		Node: f.nodes[i].TargetAddress(), DelayMillis: f.DelayMillis,
+	}
+	if err := t.Open(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.targets = append(f.targets, t)
+	f.stops = append(f.stops, cancel)
+	f.wg.Go(func() { _ = t.Run(ctx) })
+	return nil
+}
+
+// Operator returns a client of the first node's operator API.
+func (f *Fleet) Operator() (*admin.Client, error) {
+	token, err := keys.LoadOperatorToken(f.directory)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := keys.LoadAuthority(f.directory)
+	if err != nil {
+		return nil, err
+	}
+	return &admin.Client{
+		URL: "https://" + f.nodes[0].OperatorAddress(), Token: token, Authority: authority,
+	}, nil
+}
+
+// Stop stops every node gracefully, then the targets and the platform.
+func (f *Fleet) Stop(ctx context.Context) error {
+	failures := make([]error, len(f.nodes))
+	var wg conc.WaitGroup
+	for i, n := range f.nodes {
+		wg.Go(func() { failures[i] = n.Stop(ctx) })
+	}
+	wg.Wait()
+	f.cancel()
+	f.wg.Wait()
+	if err := os.RemoveAll(f.directory); err != nil {
+		failures = append(failures, err)
+	}
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/node/lifecycle.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/core/kernel"
+	"hickoryrail/io/conf"
+)
+
+// register gives the parts to the kernel in the order of their start. They stop
+// in reverse: first the servers, then requests in flight, then the lease and the
+// membership, and last the transport and the log.
+func (n *Node) register() error {
+	services := []struct {
+		name kernel.Name
+		unit *unit
+	}{
+		{serviceLog, &unit{run: n.decisions.Run}},
+		{serviceTransport, &unit{open: plainOpen(n.transport.Open), run: n.transport.Run, drain: n.transport.Drain}},
+		{serviceStalls, &unit{run: n.stalls.run}},
+		{serviceGateway, &unit{open: plainOpen(n.gateway.Open), run: n.gateway.Run}},
+		{serviceIngress, &unit{open: plainOpen(n.ingress.Open), run: n.ingress.Run}},
+		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
+		{serviceReader, &unit{run: n.reader.run}},
+		{serviceLapse, &unit{run: n.targets.run, drain: n.drainCalls}},
+		{serviceTargets, &unit{open: plainOpen(n.announce.Open), run: n.announce.Run, drain: n.announce.Drain}},
+		{serviceAdmin, &unit{open: plainOpen(n.admin.Open), run: n.admin.Run, drain: n.admin.Drain}},
+		{serviceOperators, &unit{open: plainOpen(n.operators.Open), run: n.operators.Run, drain: n.operators.Drain}},
+	}
+	for _, s := range services {
+		if err := n.kernel.Register(s.name, s.unit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plainOpen adapts an Open method that needs no other service.
+func plainOpen(open func() error) func(*kernel.Kernel) error {
+	return func(*kernel.Kernel) error { return open() }
+}
+
+// drainCalls lets the requests in flight finish: those of callers here, then
+// those of other nodes at the gate.
+func (n *Node) drainCalls(ctx context.Context) error {
+	return errors.Join(n.ingress.Drain(ctx), n.gateway.Drain(ctx))
+}
+
+// Start starts the node; it returns once every server listens.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.kernel.Start(ctx); err != nil {
+		return err
+	}
+	n.logger.WithField("Node", string(n.settings.Node)).
+		WithField("CallerAddress", n.CallerAddress()).
+		WithField("PeerAddress", n.PeerAddress()).
+		Info("node started")
+	return nil
+}
+
+// Stop stops the node gracefully, at most until ctx ends: new work is refused as
+// not run, requests in flight finish, and the fleet is told.
+func (n *Node) Stop(ctx context.Context) error {
+	n.stopping.Store(true)
+	n.targets.stop()
+	err := n.kernel.Stop(ctx)
+	n.logger.WithField("Node", string(n.settings.Node)).Info("node stopped")
+	return err
+}
+
+// Run runs a node with these settings until ctx ends, and then stops it
+// gracefully.
+func Run(ctx context.Context, s conf.Settings, output io.Writer) error {
+	n, err := New(s, output)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Stop.GraceMillis.Duration())
+	defer cancel()
+	return n.Stop(grace)
+}
+
+// ID returns the node's name.
+func (n *Node) ID() ident.NodeID { return n.settings.Node }
+
+// CallerAddress returns host:port for callers, known after Start.
+func (n *Node) CallerAddress() string { return n.ingress.Address() }
+
+// TargetAddress returns host:port for the target, known after Start.
+func (n *Node) TargetAddress() string { return n.announce.Address() }
+
+// AdminAddress returns host:port for metrics and health, known after Start.
+func (n *Node) AdminAddress() string { return n.admin.Address() }
+
+// OperatorAddress returns host:port for operators, known after Start.
+func (n *Node) OperatorAddress() string { return n.operators.Address() }
+
+// PeerAddress returns host:port for other nodes, known after Start.
+func (n *Node) PeerAddress() string { return n.transport.Address() }
+
+// Version returns the version of the release in force, or 0.
+func (n *Node) Version() ident.Version {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.inForce.Version
+}
+
+// Ready reports whether the node may serve callers.
+func (n *Node) Ready() bool {
+	return len(n.status.Status().Reasons) == 0
+}
+
+// ControlBytes returns the bytes that the node's own control traffic sent and
+// received.
+func (n *Node) ControlBytes() (sent, received ident.Bytes) {
+	t := n.transport.ControlTraffic()
+	return t.Sent, t.Received
+}
+
+// Routable returns the number of targets of all services that the node routes to.
+func (n *Node) Routable() int {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	count := 0
+	for _, r := range n.fleet.table.Records() {
+		if r.Routable() {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,255 @@
+// Package node wires the parts of one node together through the kernel.
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/kernel"
+	"hickoryrail/core/lease"
+	"hickoryrail/core/member"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/spread"
+	"hickoryrail/io/admin"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/keys"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/peer"
+	"hickoryrail/io/plat"
+	"hickoryrail/io/proxy"
+	"hickoryrail/io/stats"
+	"hickoryrail/io/wire"
+)
+
+// Names of the services in the kernel, in the order of their start.
+const (
+	serviceLog       kernel.Name = "decision log"
+	serviceTransport kernel.Name = "transport"
+	serviceStalls    kernel.Name = "stall detector"
+	serviceFleet     kernel.Name = "fleet"
+	serviceGateway   kernel.Name = "gateway"
+	serviceReader    kernel.Name = "reader"
+	serviceIngress   kernel.Name = "ingress"
+	serviceTargets   kernel.Name = "target server"
+	serviceLapse     kernel.Name = "target renewal"
+	serviceAdmin     kernel.Name = "admin server"
+	serviceOperators kernel.Name = "operator server"
+)
+
+const (
+	// logCapacity is the number of decisions that wait to be written.
+	logCapacity = 8192
+	// silentPulses is the number of pulse periods without progress after which a
+	// node contends for the lease.
+	silentPulses = 3
+	// startSpreadMillis spreads the first reads of nodes that start together.
+	startSpreadMillis = 300 * clock.Millis(1)
+)
+
+// Node is one node. Create it with New.
+type Node struct {
+	settings conf.Settings
+	kernel   *kernel.Kernel
+	stopping atomic.Bool
+
+	logger    *log.Logger
+	decisions *logs.DecisionLog
+	registry  *prometheus.Registry
+	metrics   *metrics
+	clock     clock.Clock
+	// tableRandom is for the member table, which is created once the peer
+	// address is known.
+	tableRandom *rand.Rand
+
+	transport *peer.Transport
+	stalls    *stalls
+	fleet     *fleet
+	gateway   *proxy.Gateway
+	reader    *reader
+	ingress   *proxy.Ingress
+	targets   *targets
+	status    *status
+	admin     *admin.Admin
+	announce  *admin.Targets
+	operators *admin.Operators
+}
+
+// New loads the node's keys and wires its parts. The log goes to output as JSON
+// lines.
+func New(s conf.Settings, output io.Writer) (*Node, error) {
+	identity, err := keys.LoadIdentity(s.KeyDirectory, s.Node)
+	if err != nil {
+		return nil, err
+	}
+	credential, err := keys.LoadOperatorDigest(s.KeyDirectory)
+	if err != nil {
+		return nil, err
+	}
+	random, err := newRandom()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{settings: s, kernel: kernel.New(), clock: clock.NewSystem()}
+	n.logger = logs.New(output, s.Log.Level)
+	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, logCapacity)
+	n.registry = stats.NewRegistry()
+	if n.metrics, err = newMetrics(n.registry); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
+	n.wireDataPath(identity, random)
+	n.wireFleet(random)
+	n.wireServers(identity, credential)
+	return n, n.register()
+}
+
+// newRandom returns a generator with a seed of its own.
+func newRandom() (*rand.Rand, error) {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, eris.Wrap(err, "node: random seed")
+	}
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))), nil
+}
+
+// fork returns another generator, since each state machine owns its own.
+func fork(r *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+}
+
+// wireDataPath creates the transport, the gateway and the ingress.
+func (n *Node) wireDataPath(identity keys.Identity, random *rand.Rand) {
+	s := n.settings
+	limits := proxy.Limits{BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes}
+	incarnation := ident.Incarnation(n.clock.Now())
+	n.gateway = &proxy.Gateway{
+		Self: s.Node, Incarnation: incarnation, Clock: n.clock, Limits: limits,
+		QueueLength: s.Limits.QueueLength, Log: n.decisions, Registry: n.registry,
+	}
+	n.stalls = newStalls(n.clock, s.Stall.ProbeMillis, s.Stall.GiveUpMillis, n.decisions)
+	peerLimits := peer.DefaultLimits()
+	peerLimits.BodyBytes = limits.CallBytes()
+	n.transport = &peer.Transport{
+		Self: s.Node, Listen: s.PeerAddress, Identity: identity, Registry: n.registry, Limits: peerLimits,
+		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
+		OnCall:    n.onCall,
+		OnEvent:   n.stalls.event,
+	}
+	n.stalls.transport = n.transport
+	n.ingress = &proxy.Ingress{
+		Self: s.Node, Listen: s.CallerAddress, Clock: n.clock, Peers: n.transport, Gateway: n.gateway,
+		Picker: &route.Picker{Self: s.Node, FailureDomain: s.FailureDomain, Region: s.Region, Rand: fork(random)},
+		Policy: &retry.Policy{Budget: &retry.Budget{}, Rand: fork(random)},
+		Limits: limits, Log: n.decisions, Registry: n.registry,
+	}
+}
+
+// onCall answers a call stream of another node.
+func (n *Node) onCall(ctx context.Context, from ident.NodeID, body []byte) []byte {
+	if wire.IsHeldQuery(body) {
+		return n.status.answer()
+	}
+	return n.gateway.OnCall(ctx, from, body)
+}
+
+// wireFleet creates membership, distribution and the reader.
+func (n *Node) wireFleet(random *rand.Rand) {
+	s := n.settings
+	store := &plat.Client{URL: s.PlatformURL}
+	n.ingress.Store = store
+	distribution := spread.DefaultConfig()
+	distribution.RoundMillis = s.Spread.RoundMillis
+	n.fleet = &fleet{
+		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway,
+		log: n.decisions, service: s.Service, metrics: n.metrics,
+		releases: spread.New(distribution, fork(random)),
+	}
+	n.fleet.releases.OnRefuse = n.fleet.refused
+	timing := lease.DefaultTiming()
+	timing.TTLMillis = s.Lease.TTLMillis
+	timing.RenewMillis = s.Lease.TTLMillis / 4
+	timing.MarginMillis = s.Lease.TTLMillis / 6
+	pulse := max(distribution.PulseMillis, distribution.RoundMillis)
+	timing.SilenceMillis = max(timing.SilenceMillis, silentPulses*pulse)
+	n.reader = &reader{
+		clock: n.clock, region: s.Region, store: store, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
+		submitter:  &plat.Submitter{Store: store, Clock: n.clock, Seed: random.Uint64()},
+		pollMillis: s.Spread.PollMillis, startMillis: s.Spread.StartSourceMillis,
+		delayMillis: startSpreadMillis * clock.Millis(random.Float64()),
+		lease:       lease.Lease{Self: s.Node, Timing: timing, Rand: fork(random)},
+		wanted:      make(chan struct{}, 1), due: make(chan struct{}, 1),
+	}
+	n.fleet.readRelease = func(ident.Version, ident.Digest) { n.reader.want() }
+	n.fleet.needSource = n.reader.want
+	n.targets = &targets{clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
+	n.status = &status{fleet: n.fleet, reader: n.reader, stopping: n.stopping.Load}
+	n.tableRandom = fork(random)
+}
+
+// wireServers creates the HTTP servers besides the ingress.
+func (n *Node) wireServers(identity keys.Identity, credential ident.Digest) {
+	s := n.settings
+	n.admin = &admin.Admin{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
+	n.announce = &admin.Targets{Listen: s.TargetAddress, Target: s.Target, Service: s.Service, Control: n.targets}
+	n.operators = &admin.Operators{
+		Listen: s.OperatorAddress, Certificate: identity.Certificate, Credential: credential, Source: n.status,
+		Control: &edits{clock: n.clock, store: n.reader.store, submitter: n.reader.submitter, accepted: n.reader.accepted},
+	}
+}
+
+// openFleet creates the member table with the bound peer address.
+func (n *Node) openFleet(*kernel.Kernel) error {
+	s := n.settings
+	address, err := advertised(s.AdvertiseAddress, n.transport.Address())
+	if err != nil {
+		return err
+	}
+	config := member.DefaultConfig()
+	config.ProbeMillis = s.Member.ProbeMillis
+	config.SuspectMaxMillis = s.Member.SuspectMillis
+	config.SuspectMinMillis = min(config.SuspectMinMillis, s.Member.SuspectMillis)
+	for _, seed := range s.Seeds {
+		config.Seeds = append(config.Seeds, member.Seed{Node: seed.Node, Address: seed.Address})
+	}
+	self := member.Record{
+		Node: s.Node, Incarnation: n.gateway.Incarnation, PeerAddress: address,
+		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Target: s.Target,
+		GateIncarnation: n.gateway.Incarnation,
+	}
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.fleet.table = member.New(self, config, n.tableRandom)
+	n.fleet.table.OnChange = n.fleet.changed
+	return nil
+}
+
+// advertised returns the address that peers use. A configured port of 0 stands
+// for the bound one.
+func advertised(configured, bound string) (string, error) {
+	b, err := netip.ParseAddrPort(bound)
+	if err != nil {
+		return "", eris.Wrap(err, "node: peer address")
+	}
+	if configured == "" {
+		return bound, nil
+	}
+	c, err := netip.ParseAddrPort(configured)
+	if err != nil {
+		return "", eris.Wrap(err, "node: advertised address")
+	}
+	if c.Port() == 0 {
+		return netip.AddrPortFrom(c.Addr(), b.Port()).String(), nil
+	}
+	return configured, nil
+}
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -185,7 +185,7 @@
 	ok := d.Kind == retry.Hedge
 	if ok {
 		if choice, ok = in.Picker.Pick(now, c.route.Service, c.tried); !ok {
-			in.Policy.Budget.Return()
+			in.Policy.Budget.Return(1)
 		}
 	}
 	in.mu.Unlock()
