Shorten the tests of releases

Change: stub.Table.Before is called before each call, so the tests need no store wrappers of their own; the simulated store has one step function. Every property and check stays.

--- a/core/order/submission_test.go
+++ b/core/order/submission_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -54,6 +53,8 @@
 		// delayed are Head writes that are still under way; their submitters saw
 		// no answer.
 		delayed []delayedWrite
+		// operators counts the submissions that began.
+		operators uint64
 	}
 
 	// delayedWrite is a Head write that takes effect later, if ever.
@@ -136,13 +137,29 @@
 
 // step carries out the operator's next action with a drawn fate.
 func (w *world) step(o *operator) {
-	m, a := o.m, o.next
 	fate := rapid.SampledFrom([]Reply{OK, OK, OK, OK, Failed, Unknown}).Draw(w.t, "fate")
 	effect := fate == OK || fate == Unknown && rapid.Bool().Draw(w.t, "effect")
-	read := OK
-	if fate != OK {
+	if o.next.Kind == WriteHead && fate == Unknown && !effect && rapid.Bool().Draw(w.t, "delay") {
+		w.delayed = append(w.delayed, delayedWrite{m: o.m, a: o.next})
+	}
+	w.run(o, fate, effect)
+}
+
+// run carries out the operator's next action. A failed condition is the reply
+// only if the answer is not lost.
+func (w *world) run(o *operator, fate Reply, effect bool) {
+	m, a, read := o.m, o.next, fate
+	if read != OK {
 		read = Failed
 	}
+	write := func(f func() Reply) Reply {
+		if effect {
+			if r := f(); fate == OK {
+				return r
+			}
+		}
+		return fate
+	}
 	switch a.Kind {
 	case ReadHead:
 		o.next = m.HeadRead(w.now, read, w.head, w.revision)
@@ -154,7 +171,7 @@
 		if a.Head.Version == a.Version {
 			h = a.Head
 		}
-		if read == OK && h.Version == 0 {
+		if h.Version == 0 {
 			w.t.Fatalf("release %d has no history row", a.Version)
 		}
 		o.next = m.ReleaseRead(w.now, read, w.objects[h.Object])
@@ -170,33 +187,17 @@
 		}
 		o.next = m.HeadRecorded(w.now, fate)
 	case WriteHead:
-		reply := fate
-		switch {
-		case effect:
-			if r := w.write(m, a); fate == OK {
-				reply = r
-			}
-		case fate == Unknown && rapid.Bool().Draw(w.t, "delay"):
-			w.delayed = append(w.delayed, delayedWrite{m: m, a: a})
-		}
-		o.next = m.HeadWritten(w.now, reply)
+		o.next = m.HeadWritten(w.now, write(func() Reply { return w.write(m, a) }))
 	case RecordRefusal:
-		reply := fate
-		if effect && w.edits[m.Edit.ID].revision != a.Revision {
-			effect, reply = false, Conflict
-		}
-		if effect {
+		o.next = m.RefusalRecorded(w.now, write(func() Reply {
+			if w.edits[m.Edit.ID].revision != a.Revision {
+				return Conflict
+			}
 			w.record(m.Edit.ID, a.Row)
-		}
-		o.next = m.RefusalRecorded(w.now, reply)
+			return OK
+		}))
 	case FenceHead:
-		reply := fate
-		if effect {
-			if r := w.fence(a); fate == OK {
-				reply = r
-			}
-		}
-		o.next = m.HeadFenced(w.now, reply)
+		o.next = m.HeadFenced(w.now, write(func() Reply { return w.fence(a) }))
 	case Wait:
 		w.now = max(w.now, a.Until)
 		o.next = m.Tick(w.now)
@@ -286,19 +287,15 @@
 		w := newWorld(t)
 		edits := make(map[ident.EditID]Edit)
 		var operators []*operator
-		start := func(e Edit) {
-			m := &Submission{Edit: e, Rand: rand.New(rand.NewPCG(1, uint64(len(operators))))}
-			operators = append(operators, &operator{m: m, next: m.Begin(w.now)})
-		}
 		for range rapid.IntRange(20, 160).Draw(t, "steps") {
 			switch kind := rapid.IntRange(0, 11).Draw(t, "kind"); {
 			case kind == 0 || len(operators) == 0:
 				e := w.drawEdit(fmt.Sprintf("e%d", len(edits)))
 				edits[e.ID] = e
-				start(e)
+				operators = append(operators, w.begin(e, false))
 			case kind == 1:
 				ids := slices.Sorted(maps.Keys(edits))
-				start(edits[rapid.SampledFrom(ids).Draw(t, "again")])
+				operators = append(operators, w.begin(edits[rapid.SampledFrom(ids).Draw(t, "again")], false))
 			case kind == 2 && len(w.delayed) > 0:
 				w.write(w.delayed[0].m, w.delayed[0].a)
 				w.delayed = w.delayed[1:]
@@ -324,10 +321,16 @@
 	})
 }
 
+// begin starts a submission.
+func (w *world) begin(e Edit, dryRun bool) *operator {
+	w.operators++
+	m := &Submission{Edit: e, DryRun: dryRun, Rand: rand.New(rand.NewPCG(1, w.operators))}
+	return &operator{m: m, next: m.Begin(w.now)}
+}
+
 // drive runs one operator to its end without faults.
 func drive(w *world, m *Submission) Action {
-	m.Rand = rand.New(rand.NewPCG(1, 1))
-	o := &operator{m: m, next: m.Begin(w.now)}
+	o := w.begin(m.Edit, m.DryRun)
 	for o.next.Kind < Accept {
 		w.perfect(o)
 	}
@@ -336,37 +339,7 @@
 
 // perfect carries out the operator's next action without a fault.
 func (w *world) perfect(o *operator) {
-	m, a := o.m, o.next
-	switch a.Kind {
-	case ReadHead:
-		o.next = m.HeadRead(w.now, OK, w.head, w.revision)
-	case ReadEdit:
-		e := w.edits[m.Edit.ID]
-		o.next = m.EditRead(w.now, OK, e.row, e.revision)
-	case ReadRelease:
-		h := w.history[a.Version]
-		if a.Head.Version == a.Version {
-			h = a.Head
-		}
-		o.next = m.ReleaseRead(w.now, OK, w.objects[h.Object])
-	case PutObject:
-		w.objects[a.Object] = a.Release
-		o.next = m.ObjectWritten(w.now, OK)
-	case RecordHead:
-		w.history[a.Head.Version] = a.Head
-		w.record(a.Head.EditID, EditRow{State: Released, Version: a.Head.Version})
-		o.next = m.HeadRecorded(w.now, OK)
-	case WriteHead:
-		o.next = m.HeadWritten(w.now, w.write(m, a))
-	case RecordRefusal:
-		w.record(m.Edit.ID, a.Row)
-		o.next = m.RefusalRecorded(w.now, OK)
-	case FenceHead:
-		o.next = m.HeadFenced(w.now, w.fence(a))
-	case Wait:
-		w.now = max(w.now, a.Until)
-		o.next = m.Tick(w.now)
-	}
+	w.run(o, OK, true)
 }
 
 // TestRacingOperators guards against a lost update: of two edits on one base,
@@ -387,12 +360,10 @@
 			}
 			merged[i] = max(a[i], b[i]) // equal, or one of them is the base's 1
 		}
-		operators := []*operator{}
-		for id, slots := range map[ident.EditID][]int{"a": a, "b": b} {
-			m := &Submission{Edit: Edit{ID: id, Base: 1, Configuration: configuration(slots...)}, Rand: rand.New(rand.NewPCG(1, 1))}
-			operators = append(operators, &operator{m: m, next: m.Begin(0)})
+		operators := []*operator{
+			w.begin(Edit{ID: "a", Base: 1, Configuration: configuration(a...)}, false),
+			w.begin(Edit{ID: "b", Base: 1, Configuration: configuration(b...)}, false),
 		}
-		slices.SortFunc(operators, func(a, b *operator) int { return strings.Compare(string(a.m.Edit.ID), string(b.m.Edit.ID)) })
 		for operators[0].next.Kind < Accept || operators[1].next.Kind < Accept {
 			w.perfect(operators[rapid.IntRange(0, 1).Draw(t, "turn")])
 		}
@@ -425,13 +396,11 @@
 		is := is.New(t)
 		w := newWorld(t)
 		drive(w, &Submission{Edit: Edit{ID: "first", Configuration: configuration(1)}})
-		m := &Submission{Edit: Edit{ID: "paused", Base: 1, Configuration: configuration(1, 1)}, Rand: rand.New(rand.NewPCG(1, 1))}
-		o := &operator{m: m, next: m.Begin(0)}
+		o := w.begin(Edit{ID: "paused", Base: 1, Configuration: configuration(1, 1)}, false)
 		for o.next.Kind != WriteHead {
 			w.perfect(o)
 		}
-		is.Equal(w.write(m, o.next), OK)
-		o.next = m.HeadWritten(w.now, Unknown)
+		w.run(o, Unknown, true)
 		for i := range rapid.IntRange(1, 2*MaxRecent).Draw(t, "others") {
 			a := drive(w, &Submission{Edit: Edit{ID: ident.EditID(fmt.Sprintf("o%d", i)), Base: 1, Configuration: configuration(1)}})
 			is.Equal(a.Kind, Accept)
@@ -502,9 +471,8 @@
 		edit := Edit{ID: "edit", Base: 1, Configuration: configuration(3)}
 		revert := Edit{ID: "revert", Base: 2, Configuration: configuration(1)}
 		var operators []*operator
-		for i, e := range []Edit{edit, edit, revert, edit} {
-			m := &Submission{Edit: e, Rand: rand.New(rand.NewPCG(1, uint64(i)))}
-			operators = append(operators, &operator{m: m, next: m.Begin(0)})
+		for _, e := range []Edit{edit, edit, revert, edit} {
+			operators = append(operators, w.begin(e, false))
 		}
 		for range rapid.IntRange(10, 60).Draw(t, "steps") {
 			w.perfect(rapid.SampledFrom(operators).Draw(t, "operator"))
--- a/io/plat/submitter_test.go
+++ b/io/plat/submitter_test.go
@@ -112,19 +112,20 @@
 	is.Equal(o.Version, ident.Version(1))
 }
 
-// lostHead is a store that loses the answer of the first Head write and goes down.
-type lostHead struct {
-	*stub.Table
-}
-
-// WriteRow writes the row and reports a Head write as lost.
-func (l lostHead) WriteRow(ctx context.Context, key string, value []byte, ifRevision ident.Revision) (plat.Row, error) {
-	row, err := l.Table.WriteRow(ctx, key, value, ifRevision)
-	if err == nil && key == order.HeadKey {
-		l.SetDown(true)
-		return plat.Row{}, result.NewError(result.MayHaveRun, "platform did not answer", nil)
+// loseHead returns a store that loses the answer of the first Head write and is
+// down afterwards.
+func loseHead() *stub.Table {
+	table, lost := &stub.Table{}, false
+	table.Before = func(method, name string) {
+		if lost {
+			table.SetDown(true)
+		}
+		if method == "WriteRow" && name == order.HeadKey && !lost {
+			lost = true
+			table.LoseAnswers(1)
+		}
 	}
-	return row, err
+	return table
 }
 
 // TestLostHeadWrite guards against an acceptance that is reported as NotRun when
@@ -132,11 +133,12 @@
 func TestLostHeadWrite(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := lostHead{&stub.Table{}}
+	store := loseHead()
 	s := submitter(store, clock.NewManual(0))
 	e := order.Edit{ID: "a", Configuration: services(1)}
 	_, err := s.Submit(ctx, e)
 	is.Equal(result.Of(err), result.MayHaveRun)
+	store.Before = nil
 	store.SetDown(false)
 	o, err := s.Submit(ctx, e)
 	is.NoErr(err)
@@ -204,90 +206,54 @@
 			}
 			times[e.ID] = at
 		}
-		accepted := acceptAll(t, table, now, nodes, times)
-		checkAccepted(t, table, accepted, len(times))
-	})
-}
-
-// acceptance is one accepted edit with the time that was in force.
-type acceptance struct {
-	id ident.EditID
-	at clock.Millis
-	// round is the call of AcceptDue that accepted the edit.
-	round int
-}
-
-// acceptAll runs AcceptDue with faults until no edit is scheduled. It returns
-// the acceptances in the order of their versions.
-func acceptAll(
-	t *rapid.T, table *stub.Table, now *clock.Manual, nodes []*plat.Submitter, times map[ident.EditID]clock.Millis,
-) []acceptance {
-	ctx := context.Background()
-	byVersion := make(map[ident.Version]acceptance)
-	for round := range 60 {
-		faulty := round < 20
-		if faulty {
-			if id := rapid.SampledFrom([]ident.EditID{"e0", "e1", "none"}).Draw(t, "change"); id != "none" {
-				at := now.Now() + clock.Millis(rapid.IntRange(-50, 200).Draw(t, "to"))
-				if err := nodes[0].Reschedule(ctx, id, at); err == nil {
-					times[id] = at
-				}
+		for range 20 {
+			id := rapid.SampledFrom([]ident.EditID{"e0", "e1", "none"}).Draw(t, "change")
+			at := now.Now() + clock.Millis(rapid.IntRange(-50, 200).Draw(t, "to"))
+			if err := nodes[0].Reschedule(ctx, id, at); err == nil {
+				times[id] = at
 			}
 			table.SetFaults(stub.Faults{
 				Down:         rapid.IntRange(0, 5).Draw(t, "down") == 0,
 				LoseAnswers:  rapid.IntRange(0, 3).Draw(t, "answers"),
 				LoseRequests: rapid.IntRange(0, 3).Draw(t, "requests"),
 			})
-		} else {
-			now.Advance(100_000)
+			outcomes, _ := rapid.SampledFrom(nodes).Draw(t, "node").AcceptDue(ctx)
+			checkDue(t, outcomes, times, now.Now())
+			table.SetFaults(stub.Faults{})
+			now.Advance(clock.Millis(rapid.IntRange(0, 100).Draw(t, "advance")))
 		}
-		outcomes, err := rapid.SampledFrom(nodes).Draw(t, "node").AcceptDue(ctx)
-		if err != nil && !faulty {
-			t.Fatal(err)
+		now.Advance(2_000_000)
+		outcomes, err := nodes[1].AcceptDue(ctx)
+		checkDue(t, outcomes, times, now.Now())
+		rows, listErr := plat.ReadSchedule(ctx, table)
+		if err != nil || listErr != nil || len(rows) > 0 {
+			t.Fatalf("%v are scheduled still: %v, %v", rows, err, listErr)
 		}
-		table.SetFaults(stub.Faults{})
-		for _, o := range outcomes {
-			if o.State != order.Released {
-				t.Fatalf("edit %s is %s: %s", o.EditID, o.State, o.Reason)
-			}
-			if times[o.EditID] > now.Now() {
-				t.Fatalf("edit %s is accepted before %s", o.EditID, times[o.EditID])
-			}
-			if _, known := byVersion[o.Version]; !known {
-				byVersion[o.Version] = acceptance{id: o.EditID, at: times[o.EditID], round: round}
-			}
+		history, err := plat.ReadHistory(ctx, table, 100)
+		if err != nil || len(history) != len(times)+1 {
+			t.Fatalf("history is %v: %v", history, err)
 		}
-		now.Advance(clock.Millis(rapid.IntRange(0, 100).Draw(t, "advance")))
-	}
-	if rows, err := plat.ReadSchedule(ctx, table); err != nil || len(rows) > 0 {
-		t.Fatalf("%v are scheduled still: %v", rows, err)
-	}
-	var list []acceptance
-	for v := ident.Version(2); len(list) < len(byVersion); v++ {
-		list = append(list, byVersion[v])
-	}
-	return list
+		for _, h := range history {
+			delete(times, h.EditID)
+		}
+		if len(times) > 0 {
+			t.Fatalf("%v were not accepted", times)
+		}
+	})
 }
 
-// checkAccepted compares the acceptances with the store's history.
-func checkAccepted(t *rapid.T, table *stub.Table, accepted []acceptance, edits int) {
-	if len(accepted) != edits {
-		t.Fatalf("%d of %d edits were accepted: %v", len(accepted), edits, accepted)
-	}
-	history, err := plat.ReadHistory(context.Background(), table, 100)
-	if err != nil || len(history) != edits+1 {
-		t.Fatalf("history is %v: %v", history, err)
-	}
-	for i, a := range accepted {
-		if h := history[len(history)-2-i]; h.EditID != a.id {
-			t.Fatalf("version %d is edit %s, not %s", h.Version, h.EditID, a.id)
+// checkDue checks the outcomes of one call of AcceptDue.
+func checkDue(t *rapid.T, outcomes []plat.Outcome, times map[ident.EditID]clock.Millis, now clock.Millis) {
+	for i, o := range outcomes {
+		if o.State != order.Released || times[o.EditID] > now {
+			t.Fatalf("edit %s is %s before %s: %s", o.EditID, o.State, times[o.EditID], o.Reason)
 		}
-		if i == 0 || accepted[i-1].round != a.round {
+		if i == 0 {
 			continue
 		}
-		p := accepted[i-1]
-		if p.at > a.at || p.at == a.at && p.id > a.id {
-			t.Fatalf("%v is accepted before %v", p, a)
+		p := outcomes[i-1].EditID
+		if times[p] > times[o.EditID] || times[p] == times[o.EditID] && p > o.EditID {
+			t.Fatalf("%s is accepted before %s", p, o.EditID)
 		}
 	}
 }
@@ -358,11 +324,12 @@
 func TestScheduleLostHeadWrite(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := lostHead{&stub.Table{}}
+	store := loseHead()
 	s := submitter(store, clock.NewManual(100))
 	is.NoErr(s.Schedule(ctx, order.Edit{ID: "a", Configuration: services(1)}, 1))
 	_, err := s.AcceptDue(ctx)
 	is.Equal(result.Of(err), result.MayHaveRun)
+	store.Before = nil
 	store.SetDown(false)
 	rows, err := plat.ReadSchedule(ctx, store)
 	is.NoErr(err)
@@ -409,3 +376,57 @@
 	is.True(err != nil)
 	is.Equal(len(rows), 0)
 }
+
+// TestPausedAcceptor guards against harm by a lease holder that is paused at any
+// call of AcceptDue and acts on after another node has taken over: an edit that
+// is accepted twice, an order that is not (time, edit id), or a release that
+// replaces a newer one.
+func TestPausedAcceptor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		table := &stub.Table{}
+		now := clock.NewManual(100)
+		successor := submitter(table, now)
+		_, err := successor.Submit(ctx, order.Edit{ID: "base", Configuration: services(1, 1, 1)})
+		is.NoErr(err)
+		is.NoErr(successor.Schedule(ctx, order.Edit{ID: "a", Base: 1, Configuration: services(2, 1, 1)}, 10))
+		is.NoErr(successor.Schedule(ctx, order.Edit{ID: "b", Base: 1, Configuration: services(1, 2, 1)}, 20))
+		is.NoErr(successor.Schedule(ctx, order.Edit{ID: "clash", Base: 1, Configuration: services(9, 1, 1)}, 30))
+
+		direct, calls := rapid.Bool().Draw(t, "direct"), rapid.IntRange(1, 60).Draw(t, "call")
+		table.Before = func(string, string) {
+			if calls--; calls != 0 {
+				return
+			}
+			_, err := successor.AcceptDue(ctx)
+			is.NoErr(err)
+			if direct {
+				_, err = successor.Submit(ctx, order.Edit{ID: "d", Base: 1, Configuration: services(1, 1, 3)})
+				is.NoErr(err)
+			}
+		}
+		outcomes, err := submitter(table, now).AcceptDue(ctx)
+		is.NoErr(err)
+		direct = direct && calls <= 0 // or the pause would come after the last call
+
+		want := []ident.EditID{"base", "a", "b"}
+		configuration := services(2, 2, 1)
+		if direct {
+			want, configuration = append(want, "d"), services(2, 2, 3)
+		}
+		history, err := plat.ReadHistory(ctx, table, 10)
+		is.NoErr(err)
+		is.Equal(len(history), len(want))
+		for i, id := range want {
+			is.Equal(history[len(want)-1-i].EditID, id)
+		}
+		is.Equal(history[0].Digest, configuration.Digest())
+		for _, o := range outcomes {
+			is.Equal(o.State == order.Refused, o.EditID == "clash") // it tells what is true
+		}
+		rows, err := plat.ReadSchedule(ctx, table)
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+	})
+}
--- a/io/stub/table.go
+++ b/io/stub/table.go
@@ -43,6 +43,12 @@
 	// Table is an in-memory plat.Store. It is safe for concurrent use, and the
 	// zero value is empty and ready.
 	Table struct {
+		// Before, if set, is called before each call with the name of its method
+		// and the key, prefix or object name. It may call the table itself, so a
+		// test can let others act while a caller is paused at any point. It is set
+		// before the first call.
+		Before func(method, name string)
+
 		mu     sync.Mutex
 		faults Faults
 		counts Counts
@@ -114,6 +120,7 @@
 
 // ReadRow returns the row; every read is strong.
 func (t *Table) ReadRow(ctx context.Context, key string) (plat.Row, error) {
+	t.before("ReadRow", key)
 	var row plat.Row
 	err := t.read(ctx, func() error {
 		t.counts.RowReads++
@@ -126,6 +133,7 @@
 
 // ListRows returns the rows whose keys start with prefix, in order of key.
 func (t *Table) ListRows(ctx context.Context, prefix string) ([]plat.Row, error) {
+	t.before("ListRows", prefix)
 	var rows []plat.Row
 	err := t.read(ctx, func() error {
 		t.counts.RowLists++
@@ -143,6 +151,7 @@
 
 // WriteRow writes or deletes the row if it has revision ifRevision.
 func (t *Table) WriteRow(ctx context.Context, key string, value []byte, ifRevision ident.Revision) (plat.Row, error) {
+	t.before("WriteRow", key)
 	row := plat.Row{Key: key, Value: slices.Clone(value)}
 	err := t.write(ctx, func() error {
 		t.counts.RowWrites++
@@ -171,6 +180,7 @@
 
 // PutObject stores an object.
 func (t *Table) PutObject(ctx context.Context, name string, body []byte) error {
+	t.before("PutObject", name)
 	return t.write(ctx, func() error {
 		t.counts.ObjectWrites++
 		if t.objects == nil {
@@ -183,6 +193,7 @@
 
 // GetObject returns an object or plat.ErrNotFound.
 func (t *Table) GetObject(ctx context.Context, name string) ([]byte, error) {
+	t.before("GetObject", name)
 	var body []byte
 	err := t.read(ctx, func() error {
 		t.counts.ObjectReads++
@@ -196,6 +207,13 @@
 	return body, err
 }
 
+// before calls Before.
+func (t *Table) before(method, name string) {
+	if t.Before != nil {
+		t.Before(method, name)
+	}
+}
+
 // read runs a read under the lock, unless a fault or the end of ctx prevents it.
 func (t *Table) read(ctx context.Context, f func() error) error {
 	if !t.wait(ctx) {
