core/route: eject a target after 3 consecutive failures

Cause: with a target that resets its calls, each ingress lost five calls to it before the ejection. Change: EjectAfter is 3, before 5. The floor of half the service bounds the harm of a false ejection.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -123,7 +123,7 @@
 // DefaultLimits returns the limits that stand for zero fields.
 func DefaultLimits() Limits {
 	return Limits{
-		Subset: MaxSubset, EjectAfter: 5, EjectMillis: clock.Second, EjectMaxMillis: clock.Minute,
+		Subset: MaxSubset, EjectAfter: 3, EjectMillis: clock.Second, EjectMaxMillis: clock.Minute,
 		SlowStartMillis: 10 * clock.Second, ReportMillis: clock.Second, IdleMillis: 5 * clock.Second,
 		StaleMillis:  20 * clock.Second,
 		DomainFactor: 1.25, RegionFactor: 2,
