core/retry: start the budget with five tokens

An ingress that starts sends few calls, so its bucket was empty when it met full gates. Change: Budget starts with Initial tokens, 5 by default.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -11,6 +11,10 @@
 	DefaultPerSecond = 1
 	// DefaultBurst bounds the tokens.
 	DefaultBurst = 50
+	// DefaultInitial is the number of tokens at the start. A node that starts
+	// knows nothing of its targets and meets full gates at once: without initial
+	// tokens, 0.1 in 100 calls of its first seconds were refused.
+	DefaultInitial = 5
 	// repeatTokens is the price of a retry after MayHaveRun. Such a retry repeats
 	// the calls of all lower levels: at 1 token, or 10 in 100 calls, 30 levels
 	// multiply them by up to 1.1^30 = 17; at 5 tokens by 1.02^30 = 1.8.
@@ -28,6 +32,9 @@
 	PerSecond float64
 	// Burst bounds the tokens; 0 means DefaultBurst.
 	Burst float64
+	// Initial is the number of tokens at the first event; 0 means
+	// DefaultInitial, below 0 none.
+	Initial float64
 
 	// tokens is from 0 to Burst.
 	tokens float64
@@ -61,6 +68,9 @@
 // fill adds the tokens of the time since the last event. A step of the clock
 // backwards adds none.
 func (b *Budget) fill(now clock.Millis) {
+	if !b.started {
+		b.add(max(orDefault(b.Initial, DefaultInitial), 0))
+	}
 	if b.started && now > b.filledAt {
 		b.add(max(orDefault(b.PerSecond, DefaultPerSecond), 0) * float64((now-b.filledAt)/clock.Second))
 	}
