io/bench: measure hedges

Cause: the price of a hedge needs a figure. Change: add Hedges, idempotent checks with few slow attempts and with an overload from the middle on.

--- a/io/bench/bench_test.go
+++ b/io/bench/bench_test.go
@@ -87,3 +87,14 @@
 	}
 	show(t, FenceCost())
 }
+
+// TestHedges guards against hedges that exceed the budget or do not help.
+func TestHedges(t *testing.T) {
+	table := Hedges()
+	show(t, table)
+	for i := 0; i < len(table.Rows); i += 2 {
+		if none, hedged, extra := cell(t, table, i, 3), cell(t, table, i+1, 3), cell(t, table, i+1, 5); hedged >= none || extra > 10.1 {
+			t.Fatalf("%v", table.Rows[i+1])
+		}
+	}
+}
--- a/io/bench/retry.go
+++ b/io/bench/retry.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"hickoryrail/core/clock"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
 	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
 )
 
 const (
@@ -23,6 +26,17 @@
 	chainLimit = 20_000_000
 )
 
+// Sizes of the measurement of hedges.
+const (
+	// hedgeCalls is the number of calls.
+	hedgeCalls = 100_000
+	// hedgeRate is the calls per second of one ingress.
+	hedgeRate = 370
+	// hedgeSlow is the share of attempts that a target delays by 100 ms, such as
+	// by a pause for garbage collection.
+	hedgeSlow = 0.02
+)
+
 // Kinds of failure.
 const (
 	// mixed means a third each: refused, lost after it ran, answered with an error.
@@ -149,3 +163,61 @@
 		return result.Ran, false
 	}
 }
+
+// Hedges measures the delay of idempotent checks with and without hedges, while
+// few attempts are slow and while all of them become slow.
+func Hedges() *Table {
+	t := NewTable(fmt.Sprintf("hedges, %d checks at %d calls/s, %.0f in 100 attempts take 100 ms more, seed %d",
+		hedgeCalls, hedgeRate, hedgeSlow*100, retrySeed),
+		"delays", "hedges", "p50 ms", "p99 ms", "p99.9 ms", "extra attempts %")
+	for _, overload := range []bool{false, true} {
+		for _, after := range []clock.Millis{-1, 0} {
+			t.addHedges(overload, after)
+		}
+	}
+	return t
+}
+
+// addHedges runs the checks and adds a row. Delays are exponential with a mean of
+// 5 ms; in an overload they grow threefold at the middle of the run.
+func (t *Table) addHedges(overload bool, after clock.Millis) {
+	random := rand.New(rand.NewPCG(retrySeed, 5))
+	picker := &route.Picker{Self: "node-0", FailureDomain: domainName(0), Region: "one", Rand: random}
+	picker.SetView(0, modelView(6, 3, 6, 0))
+	policy := &retry.Policy{Budget: &retry.Budget{}, Rand: random}
+	h := hdrhistogram.New(1, 10_000_000, 3)
+	extra := 0
+	for i := range hedgeCalls {
+		now := clock.Millis(i) * clock.Second / hedgeRate
+		policy.Budget.Call(now)
+		draw := func() clock.Millis {
+			d := clock.Millis(5 * random.ExpFloat64())
+			if random.Float64() < hedgeSlow {
+				d += 100
+			}
+			if overload && i > hedgeCalls/2 {
+				d *= 3
+			}
+			return d
+		}
+		a := retry.Attempt{
+			Route: model.Route{Idempotent: true, Class: model.Check, MaxAttempts: 2, HedgeAfterMillis: after},
+			Sent:  1, Outstanding: 1, SentAt: now, Deadline: now + callTimeout,
+		}
+		first := draw()
+		end := now + first
+		if at, ok := policy.HedgeAt(a, picker.Delay95(serviceName)); ok && end > at && policy.Hedge(at, a).Kind == retry.Hedge {
+			extra++
+			end = min(end, at+draw())
+		}
+		c, _ := picker.Pick(now, serviceName, nil)
+		// The delay of the first attempt counts: those of hedges alone would hide
+		// a slow target.
+		picker.Done(end, c.Target.ID, route.Outcome{Delay: first, Verdict: result.Ran})
+		_ = h.RecordValue(max(int64(1000*(end-now)), 1))
+	}
+	names := map[bool]string{false: "few slow", true: "all slow from the middle on"}
+	hedged := map[bool]string{false: "none", true: "after p95"}
+	t.Add(names[overload], hedged[after == 0], float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000,
+		float64(h.ValueAtQuantile(99.9))/1000, 100*float64(extra)/hedgeCalls)
+}
