core/retry: let a hedge cost two tokens

Cause: at one token, slow targets at all of 30 levels could let hedges multiply calls by 1.1^30 = 17. Change: a hedge takes 2 tokens, which bounds the factor by 1.05^30 = 4.3.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -19,11 +19,15 @@
 	// the calls of all lower levels: at 1 token, or 10 in 100 calls, 30 levels
 	// multiply them by up to 1.1^30 = 17; at 5 tokens by 1.02^30 = 1.8.
 	repeatTokens = 5
+	// hedgeTokens is the price of a hedge. At 10 tokens for 100 calls it allows 5
+	// hedges, as many as calls exceed the 95th percentile of the delay, and
+	// bounds 30 levels that hedge by 1.05^30 = 4.3.
+	hedgeTokens = 2
 )
 
 // Budget is a token bucket for the extra attempts of one node. A first attempt
-// takes no token, a retry after NotRun or a hedge takes one, and a retry after
-// MayHaveRun takes repeatTokens.
+// takes no token, a retry after NotRun takes one, a hedge takes hedgeTokens, and a
+// retry after MayHaveRun takes repeatTokens.
 type Budget struct {
 	// Ratio is the number of tokens that one call adds; 0 means DefaultRatio.
 	Ratio float64
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -176,7 +176,7 @@
 		return Decision{Kind: Wait, Reason: ReasonAttempts}
 	case now+orDefault(p.LeastMillis, DefaultLeastMillis) > a.Deadline:
 		return Decision{Kind: Wait, Reason: ReasonDeadline}
-	case !p.Budget.Take(now, 1):
+	case !p.Budget.Take(now, hedgeTokens):
 		return Decision{Kind: Wait, Reason: ReasonBudget}
 	}
 	return Decision{Kind: Hedge, At: now, Reason: ReasonSlow}
--- a/core/retry/policy_property_test.go
+++ b/core/retry/policy_property_test.go
@@ -145,7 +145,7 @@
 func TestHedges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPolicy(&Budget{PerSecond: -1, Ratio: 1, Initial: -1})
-		if rapid.Bool().Draw(t, "token") {
+		for range rapid.IntRange(0, 3).Draw(t, "tokens") {
 			p.Budget.Call(0)
 		}
 		before := p.Budget.Tokens(0)
@@ -164,9 +164,9 @@
 		}
 		now := clock.Millis(rapid.IntRange(5, 60).Draw(t, "now"))
 		want := allowed && a.Outstanding == 1 && a.Sent < min(a.Route.MaxAttempts, DefaultMaxAttempts) &&
-			now+DefaultLeastMillis <= a.Deadline && before >= 1
+			now+DefaultLeastMillis <= a.Deadline && before >= hedgeTokens
 		d := p.Hedge(now, a)
-		if (d.Kind == Hedge) != want || (d.Kind == Hedge) != (p.Budget.Tokens(now) < before) {
+		if (d.Kind == Hedge) != want || (d.Kind == Hedge) != (p.Budget.Tokens(now) == before-hedgeTokens) {
 			t.Fatalf("%s (%s), want %t", d.Kind, d.Reason, want)
 		}
 	})
--- a/io/bench/bench_test.go
+++ b/io/bench/bench_test.go
@@ -93,7 +93,7 @@
 	table := Hedges()
 	show(t, table)
 	for i := 0; i < len(table.Rows); i += 2 {
-		if none, hedged, extra := cell(t, table, i, 3), cell(t, table, i+1, 3), cell(t, table, i+1, 5); hedged >= none || extra > 10.1 {
+		if none, hedged, extra := cell(t, table, i, 3), cell(t, table, i+1, 3), cell(t, table, i+1, 5); hedged >= none || extra > 5.1 {
 			t.Fatalf("%v", table.Rows[i+1])
 		}
 	}
