--- a/core/once/row.go
+++ b/core/once/row.go
@@ -62,6 +62,13 @@
 	rowFields = []string{"ClaimID", "State", "Status", "Headers", "Body", "Object"}
 )
 
+// RowKey returns the key of the row for a caller's idempotency key. The length of
+// the caller's name goes into the hash, so no two pairs share their text.
+func RowKey(service ident.ServiceName, caller ident.CallerID, key string) string {
+	sum := ident.Sum(fmt.Appendf(nil, "%d/%s/%s", len(caller), caller, key))
+	return "Key/" + string(service) + "/" + sum.String()
+}
+
 // EncodeKeyRow returns the row as JSON.
 func EncodeKeyRow(r KeyRow) ([]byte, error) {
 	if err := r.check(); err != nil {
--- a/core/once/row_test.go
+++ b/core/once/row_test.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// TestRowKey guards against two callers who share a row.
+func TestRowKey(t *testing.T) {
+	is := is.New(t)
+	is.True(RowKey("orders", "a", "b/c") != RowKey("orders", "a/b", "c"))
+	is.True(RowKey("orders", "a", "b") != RowKey("invoices", "a", "b"))
+}
+
 // FuzzDecodeKeyRow guards against a panic, and against a row that changes when it
 // is written back.
 func FuzzDecodeKeyRow(f *testing.F) {
