core/retry: count attempts in Attempt

Cause: a caller that forgets Outstanding or Uncertain gets a wrong verdict. Change: add Attempt.Start and Attempt.End, and use them in tests and measurements.

--- a/core/once/atmostonce_test.go
+++ b/core/once/atmostonce_test.go
@@ -255,7 +255,7 @@
 			w.t.Fatalf("%s was forwarded twice", s.name)
 		}
 	}
-	s.attempt.Sent++
+	s.attempt.Start(w.now)
 	id := ident.RequestID(fmt.Sprintf("%s.%d", s.name, s.attempt.Sent))
 	s.current = id
 	i := s.attempt.Sent % len(w.gates)
@@ -311,6 +311,7 @@
 		return
 	}
 	s.current = ""
+	s.attempt.End(v)
 	d := s.policy.Decide(w.now, s.attempt, v)
 	if d.Kind == retry.Retry {
 		w.after(d.At-w.now, s.forward)
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -103,8 +103,21 @@
 	return kindNames[min(int(k), len(kindNames)-1)]
 }
 
-// Decide returns what follows from the verdict of an attempt that has ended;
-// Outstanding no longer counts it. The caller keeps Uncertain across attempts.
+// Start counts an attempt that is being sent.
+func (a *Attempt) Start(now clock.Millis) {
+	a.Sent++
+	a.Outstanding++
+	a.SentAt = now
+}
+
+// End counts the verdict of an attempt. The caller then asks Decide.
+func (a *Attempt) End(v result.Verdict) {
+	a.Outstanding--
+	a.Uncertain = a.Uncertain || v == result.MayHaveRun
+}
+
+// Decide returns what follows from the verdict of an attempt that has ended, after
+// End has counted it.
 func (p *Policy) Decide(now clock.Millis, a Attempt, v result.Verdict) Decision {
 	switch v {
 	case result.Ran:
--- a/core/retry/policy_property_test.go
+++ b/core/retry/policy_property_test.go
@@ -36,9 +36,10 @@
 	p.Budget.Call(c.now)
 	a := Attempt{Route: c.route, Deadline: c.now + c.route.TimeoutMillis}
 	for {
-		a.Sent++
+		a.Start(c.now)
 		c.attempts[level]++
 		v, ok := c.try(level)
+		a.End(v)
 		d := p.Decide(c.now, a, v)
 		if d.Kind != Retry {
 			if d.Verdict == result.NotRun && a.Uncertain {
@@ -46,7 +47,6 @@
 			}
 			return ok && d.Verdict == result.Ran
 		}
-		a.Uncertain = a.Uncertain || v == result.MayHaveRun
 		if v == result.Ran || v == result.MayHaveRun && !c.route.Idempotent {
 			c.t.Fatalf("retry after %s, idempotent %t", v, c.route.Idempotent)
 		}
--- a/io/bench/retry.go
+++ b/io/bench/retry.go
@@ -133,15 +133,15 @@
 		Route: model.Route{MaxAttempts: 3, Idempotent: c.idempotent}, Deadline: c.now + clock.Minute,
 	}
 	for {
-		a.Sent++
+		a.Start(c.now)
 		v, ok := c.attempt(level)
+		a.End(v)
 		if ok {
 			return true
 		}
 		if !c.rule(level, c.now, a, v) {
 			return false
 		}
-		a.Uncertain = a.Uncertain || v == result.MayHaveRun
 	}
 }
 
--- a/io/bench/route.go
+++ b/io/bench/route.go
@@ -310,7 +310,7 @@
 	}
 	c.target = r.targets[slices.IndexFunc(r.targets, func(m *modelTarget) bool { return m.id == t.ID })]
 	c.sentAt = r.now
-	c.state.Sent++
+	c.state.Start(r.now)
 	c.attempt++
 	attempt := c.attempt
 	r.at(r.now+r.oneWay(c), func() { r.arrive(c, attempt) })
@@ -384,6 +384,7 @@
 			Delay: r.now - c.sentAt, Verdict: v, Failed: failed, Load: load, HasLoad: true,
 		})
 		c.attempt++ // the attempt has ended
+		c.state.End(v)
 		d := r.policies[c.ingress].Decide(r.now, c.state, v)
 		if d.Kind != retry.Retry {
 			r.end(c, d.Verdict)
