io/proxy: remember enough attempts for 4,300 calls/s

Cause: the fence's default of 65,536 records lasts for 1,092 calls/s over 60 s; beyond that the gateway refuses calls. Change: Gateway.MaxRecords, by default 262,144.

--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -27,6 +27,8 @@
 	// DefaultOccupiedMillis bounds how long an announced slot is occupied; no
 	// request lasts longer than the largest route timeout.
 	DefaultOccupiedMillis = 2 * clock.Minute
+	// DefaultMaxRecords is enough for 4,300 calls/s over the default KeepMillis.
+	DefaultMaxRecords = 1 << 18
 	// tickMillis is the interval at which waiting calls are checked for expiry.
 	tickMillis = 5 * clock.Millis(1)
 )
@@ -60,6 +62,9 @@
 		// KeepMillis is how long attempts are remembered; it must be longer than
 		// the transport can hold one. Zero means the default.
 		KeepMillis clock.Millis
+		// MaxRecords bounds the remembered attempts; a full record refuses calls.
+		// Zero means the default.
+		MaxRecords int
 		Limits     Limits
 		// QueueLength, AgeingMillis, RunMillis and OccupiedMillis configure the
 		// gate; zero means the default.
@@ -116,6 +121,7 @@
 	}
 	g.Limits = g.Limits.withDefaults()
 	orDefault(&g.QueueLength, DefaultQueueLength)
+	orDefault(&g.MaxRecords, DefaultMaxRecords)
 	orDefault(&g.AgeingMillis, DefaultAgeingMillis)
 	orDefault(&g.RunMillis, DefaultRunMillis)
 	orDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
@@ -123,7 +129,7 @@
 		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis,
 		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
 	}
-	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis}
+	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords}
 	g.calls = make(map[ident.RequestID]*gateCall)
 	return g.metrics.open(g.Registry, g.Load)
 }
