io/bench: compare the gate with a FIFO under overload

Cause: admission must keep answering in time when three times too much arrives. Change: Admission runs both on the same arrivals in virtual time.

--- a/io/bench/path_test.go
+++ b/io/bench/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -31,3 +32,23 @@
 		}
 	}
 }
+
+// TestAdmission guards against a measurement that loses calls, and prints its
+// table with -v.
+func TestAdmission(t *testing.T) {
+	table := Admission()
+	show(t, table)
+	for _, row := range table.Rows {
+		sum := 0
+		for _, i := range []int{4, 6, 7} {
+			n, err := strconv.Atoi(row[i])
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += n
+		}
+		if strconv.Itoa(sum) != row[3] {
+			t.Fatalf("calls are lost: %v", row)
+		}
+	}
+}
