Offer the target command

Cause: the README's walk needs the target command, which main did not wire. Change: main sets Backends.Target to the stand-in of io/target.

--- a/cmd/hickoryrail/main.go
+++ b/cmd/hickoryrail/main.go
@@ -10,15 +10,22 @@
 	"hickoryrail/io/cmds"
 	"hickoryrail/io/demo"
 	"hickoryrail/io/node"
+	"hickoryrail/io/target"
 )
 
 func main() {
 	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, cmds.Backends{
-		Node: node.Run,
-		Demo: demoBackend(),
+		Node:   node.Run,
+		Target: newTarget,
+		Demo:   demoBackend(),
 	}))
 }
 
+// newTarget creates a stand-in target.
+func newTarget(o cmds.TargetOptions) cmds.TargetServer {
+	return &target.Server{ID: o.ID, Service: o.Service, Listen: o.Listen, Node: o.Node, DelayMillis: o.DelayMillis}
+}
+
 // demoBackend runs the demonstration; the nodes' log lines go to a file if one
 // is named.
 func demoBackend() cmds.Backend {
