Refuse to watch a fleet without a release

Cause: watch on a fleet without a release reported version 0 as in force everywhere and ended with status 0. Change: it is a fault with status 1. Seen to fail on the former version by TestWatch. Conclusion: status 0 of watch means that a release is in force.

--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -33,6 +33,8 @@
 	errs  []error
 	out   admin.Outcome
 	nodes []admin.NodeStatus
+	// empty says that there is no release.
+	empty bool
 	// looks counts the calls of Fleet.
 	looks int
 }
@@ -54,6 +56,9 @@
 }
 
 func (f *fleet) Configuration(context.Context) (model.Release, error) {
+	if f.empty {
+		return model.Release{}, nil
+	}
 	return model.NewRelease(3, "e3", configuration())
 }
 
@@ -353,7 +358,10 @@
 	var p progress
 	is.NoErr(json.Unmarshal([]byte(stdout), &p))
 	is.Equal(p.Laggards[1].Node, ident.NodeID("a2"))
-	is.True(!progressOf(1, nil).done()) // a fleet that is not known is not done
+	status, _, stderr = run(append([]string{"watch"}, serve(t, &fleet{empty: true, nodes: nodes})...)...)
+	is.Equal(status, 1)
+	is.True(strings.Contains(stderr, "no release yet")) // version 0 is not in force
+	is.True(!progressOf(1, nil).done())                 // a fleet that is not known is not done
 }
 
 // TestKeys guards against keys that replace existing ones or do not load.
--- a/io/cmds/watch.go
+++ b/io/cmds/watch.go
@@ -56,8 +56,12 @@
 	}
 )
 
-// errNotEverywhere reports a release that is not in force everywhere in time.
-var errNotEverywhere = errors.New("the release is not in force everywhere")
+var (
+	// errNotEverywhere reports a release that is not in force everywhere in time.
+	errNotEverywhere = errors.New("the release is not in force everywhere")
+	// errNoRelease reports that there is nothing to watch.
+	errNoRelease = errors.New("there is no release yet")
+)
 
 // watchCommand shows the progress of a release.
 func watchCommand(stdout io.Writer) *command {
@@ -99,6 +103,9 @@
 				}
 				w.version = newest.Version
 			}
+			if w.version == 0 {
+				return errNoRelease
+			}
 			return w.run(ctx, client, stdout)
 		},
 	}
