Bound the writing of answers to admin clients

Cause: a client that does not read its answer held its connection without a limit, and a drain waits for such a connection until its context ends. Change: the servers of io/admin bound writes by the same 10 s as reads. Conclusion: a silent client delays a drain by at most 10 s.

--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// readMillis bounds the reading of one request and the idle time of a
-	// connection, so that a silent client does not hold a connection for ever.
-	readMillis = 10 * clock.Second
+	// clientMillis bounds the reading of one request, the writing of its answer
+	// and the idle time of a connection, so that a silent client does not hold a
+	// connection, and a drain, for ever.
+	clientMillis = 10 * clock.Second
 	// stopMillis bounds the wait for requests in flight when Run ends.
 	stopMillis = 5 * clock.Second
 	// headerBytes bounds the header of a request.
@@ -59,8 +60,9 @@
 		CaseSensitive:                true,
 		BodyLimit:                    2 * bodyBytes,
 		ReadBufferSize:               headerBytes,
-		ReadTimeout:                  readMillis.Duration(),
-		IdleTimeout:                  readMillis.Duration(),
+		ReadTimeout:                  clientMillis.Duration(),
+		WriteTimeout:                 clientMillis.Duration(),
+		IdleTimeout:                  clientMillis.Duration(),
 		ErrorHandler:                 reportError,
 	})
 	app.Use(recover.New())
