--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,70 @@
+// Command fleet runs trials and measurements with a fleet of separate processes on
+// loopback. It is a tool for developers; operators use hickoryrail.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+
+	"hickoryrail/core/ident"
+	"hickoryrail/io/procs"
+)
+
+// trials are the disturbances by name.
+var trials = map[string]func(*procs.Trial) error{
+	"kill": procs.Kill, "freeze": procs.Freeze, "terminate": procs.Terminate, "outage": procs.Outage,
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		os.Exit(1)
+	}
+}
+
+// run runs the trials that the arguments name.
+func run() error {
+	binary := flag.String("binary", "./hickoryrail", "hickoryrail `program`")
+	nodes := flag.Int("nodes", 6, "number of node processes")
+	flag.Usage = usage
+	flag.Parse()
+	if flag.NArg() == 0 {
+		usage()
+		return fmt.Errorf("name a trial")
+	}
+	for _, name := range flag.Args() {
+		disturb, ok := trials[name]
+		if !ok {
+			return fmt.Errorf("no trial %q", name)
+		}
+		fmt.Printf("== %s\n", name)
+		t := &procs.Trial{W: os.Stdout, Without: []int{*nodes - 1}, Disturb: disturb, Fleet: newFleet(*binary, *nodes)}
+		if err := t.Run(context.Background()); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// newFleet returns a fleet in three failure domains with two services.
+func newFleet(binary string, nodes int) *procs.Fleet {
+	return &procs.Fleet{
+		Binary: binary, Nodes: nodes, Targets: nodes, DelayMillis: 2, RoundMillis: 100, Decisions: "problems",
+		Domains:  []ident.FailureDomain{"attica-a", "attica-b", "attica-c"},
+		Services: []ident.ServiceName{"orders", "catalogue"},
+	}
+}
+
+// usage prints the trials.
+func usage() {
+	names := make([]string, 0, len(trials))
+	for name := range trials {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintf(os.Stderr, "usage: fleet [flags] TRIAL...\ntrials: %v\n", names)
+	flag.PrintDefaults()
+}
