core/route: count the age of calls without an outcome as delay

Cause: a target that hangs kept its good average until the first call reached its deadline, and got calls in the meantime. Change: while calls are in flight, the delay in the score is at least half of the time without any outcome from the target. The new test fails without the change.

--- a/core/route/evidence.go
+++ b/core/route/evidence.go
@@ -45,6 +45,8 @@
 		inFlight int
 		// chosenAt is the instant of the last pick.
 		chosenAt clock.Millis
+		// quietSince is the instant from which calls in flight had no outcome.
+		quietSince clock.Millis
 		// delay is the moving average of answered calls; 0 before the first one.
 		delay clock.Millis
 		// failures is the moving average of failed (1) and answered (0) calls.
@@ -68,6 +70,9 @@
 
 // choose counts a call in flight.
 func (e *evidence) choose(now clock.Millis, reason string) Choice {
+	if e.inFlight == 0 {
+		e.quietSince = now
+	}
 	e.inFlight++
 	e.chosenAt = now
 	return Choice{Target: e.target, Reason: reason}
@@ -149,6 +154,11 @@
 	if e.delay > 0 {
 		delay += fresh * float64(e.delay-base)
 	}
+	if e.inFlight > 0 {
+		// A call without an outcome shows that the delay is at least its age. Half
+		// of it counts, since the delays of good calls scatter by about as much.
+		delay = max(delay, float64(now-e.quietSince)/2)
+	}
 	return delay * float64(e.inFlight+1) * (1 + failureFactor*fresh*e.failures) * p.reported(now, g, e)
 }
 
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -281,6 +281,7 @@
 		return
 	}
 	e.inFlight--
+	e.quietSince = now
 	if !e.present || (o.Gate != 0 && o.Gate != e.target.Gate) {
 		return
 	}
--- a/core/route/picker_test.go
+++ b/core/route/picker_test.go
@@ -106,3 +106,27 @@
 	}
 	is.True(last >= 4*clock.Second)
 }
+
+// TestHangingTargetLosesCalls guards against sending calls to a target that has
+// given no outcome, until the first of them reaches its deadline. The other
+// targets answer after 40 ms and have calls in flight as well.
+func TestHangingTargetLosesCalls(t *testing.T) {
+	is := is.New(t)
+	p := newPicker(1)
+	p.SetView(0, viewSize(4))
+	hung := 0
+	var open []ident.TargetID
+	for now := clock.Millis(0); now < 500; now += 2 {
+		if len(open) == 20 {
+			p.Done(now, open[0], Outcome{Delay: 40, Verdict: result.Ran})
+			open = open[1:]
+		}
+		if c, _ := p.Pick(now, "orders", nil); c.Target.ID == "orders-00" {
+			hung++
+		} else {
+			open = append(open, c.Target.ID)
+		}
+	}
+	is.True(hung > 0)
+	is.True(hung <= 14) // of an even share of 62; own calls in flight alone leave more than 16
+}
