io/proxy: allocate nothing for the wait of a call that starts at once

Cause: each call made two channels and the gate two lists of actions, although most calls find a free slot. Change: the channels exist only for a call that waits or is voided, and the gate reuses the memory of its actions.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -42,6 +42,8 @@
 const (
 	// classes is the number of classes.
 	classes = int(model.Browse) + 1
+	// actionRoom is the number of actions that need no new memory.
+	actionRoom = 16
 	// runWeight is the weight of the newest run time in its moving average.
 	runWeight = 0.1
 )
@@ -75,7 +77,8 @@
 	}
 
 	// Gate admits requests to one target. It holds no lock, so its owner
-	// serializes the calls. Set the exported fields before the first call.
+	// serializes the calls. Set the exported fields before the first call. The
+	// actions that a method returns are valid until the next call.
 	//
 	// Invariants: running calls plus announced ones never exceed the smaller of
 	// Slots and Connections through a start; every call that arrives ends in
@@ -106,6 +109,8 @@
 		served [classes]clock.Millis
 		// run is the moving average of each class's run time; 0 before the first.
 		run [classes]clock.Millis
+		// actions is the memory of the returned slices.
+		actions []Action
 		// occupied counts slots held by calls that an earlier gate started.
 		occupied      int
 		occupiedUntil clock.Millis
@@ -119,7 +124,7 @@
 // gets its action from a later call of any method. An id that already runs or
 // waits is ignored, since starting it would run the request twice.
 func (g *Gate) Arrive(now clock.Millis, c Call) []Action {
-	actions := g.advance(now, nil)
+	actions := g.advance(now, g.buffer())
 	switch {
 	case g.holds(c.ID):
 		return actions
@@ -147,7 +152,7 @@
 		g.run[class] = took
 	}
 	g.run[class] += runWeight * (took - g.run[class])
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Cancel withdraws a waiting call, which is refused. A running call keeps its
@@ -157,7 +162,7 @@
 		for i, w := range q {
 			if w.ID == id {
 				g.queues[class] = slices.Delete(q, i, i+1)
-				return g.advance(now, []Action{refuse(id, ReasonCancelled)})
+				return g.advance(now, append(g.buffer(), refuse(id, ReasonCancelled)))
 			}
 		}
 	}
@@ -168,14 +173,14 @@
 // is called often enough for a refusal to be of use, such as every 5 ms while
 // calls wait.
 func (g *Gate) Tick(now clock.Millis) []Action {
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Drain refuses waiting and new calls. Drained follows when the last running
 // call has ended, at once if none runs. A repeated drain changes nothing.
 func (g *Gate) Drain(now clock.Millis) []Action {
 	g.draining = true
-	var actions []Action
+	actions := g.buffer()
 	for class, q := range g.queues {
 		for _, w := range q {
 			actions = append(actions, refuse(w.ID, ReasonDraining))
@@ -188,7 +193,7 @@
 // Reopen ends a drain, for a target that announces itself again.
 func (g *Gate) Reopen(now clock.Millis) []Action {
 	g.draining, g.drainedSent = false, false
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Announce sets the requests that the target runs by its own count, of which
@@ -196,21 +201,21 @@
 func (g *Gate) Announce(now clock.Millis, inFlight int) []Action {
 	foreign := max(inFlight-len(g.running), min(inFlight, g.occupied), 0)
 	g.occupied, g.occupiedUntil = foreign, now+g.OccupiedMillis
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Renew lowers the announced slots to the target's present count. It never
 // raises them: what the count holds beyond them was started by this gate.
 func (g *Gate) Renew(now clock.Millis, inFlight int) []Action {
 	g.occupied = min(g.occupied, max(inFlight, 0))
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Resize sets the limits of another release or target. Running calls beyond
 // the new limits continue.
 func (g *Gate) Resize(now clock.Millis, slots ident.Slots, connections ident.Connections) []Action {
 	g.Slots, g.Connections = slots, connections
-	return g.advance(now, nil)
+	return g.advance(now, g.buffer())
 }
 
 // Load returns the free slots and the queue's length.
@@ -232,6 +237,14 @@
 	return len(g.running)
 }
 
+// buffer returns the memory for the actions of one call.
+func (g *Gate) buffer() []Action {
+	if g.actions == nil {
+		g.actions = make([]Action, 0, actionRoom)
+	}
+	return g.actions[:0]
+}
+
 // advance drops what has expired, starts what has a slot and reports a
 // completed drain.
 func (g *Gate) advance(now clock.Millis, actions []Action) []Action {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -94,12 +94,15 @@
 		stopping bool
 	}
 
-	// gateCall is one call at the gate.
+	// gateCall is one call at the gate. Gateway.mu guards its fields.
 	gateCall struct {
 		request *wire.Request
-		// decided gets the one action that starts or refuses the call.
-		decided chan admit.Action
-		// ended is closed when the fence has the outcome.
+		// action starts or refuses the call once decided is set; it is set once.
+		action  admit.Action
+		decided bool
+		// wake is closed when action is set; nil for a call that does not wait.
+		wake chan struct{}
+		// ended is closed when the fence has the outcome; nil unless a void waits.
 		ended chan struct{}
 	}
 )
@@ -285,21 +288,23 @@
 func (g *Gateway) forward(ctx context.Context, r *wire.Request, keep bool) (*wire.Response, []byte) {
 	now := g.Clock.Now()
 	deadline := now + r.RemainingMillis
-	c := &gateCall{request: r, decided: make(chan admit.Action, 1), ended: make(chan struct{})}
+	c := &gateCall{request: r}
 	t, resp, kept := g.arrive(now, deadline, c)
 	if t == nil {
 		return resp, kept
 	}
-	var a admit.Action
-	select {
-	case a = <-c.decided:
-	case <-ctx.Done():
-		g.cancel(r.ID)
-		a = <-c.decided
+	started := now
+	if c.wake != nil {
+		select {
+		case <-c.wake:
+		case <-ctx.Done():
+			g.cancel(r.ID)
+			<-c.wake
+		}
+		started = g.Clock.Now()
 	}
-	started := g.Clock.Now()
-	if a.Kind == admit.Refuse {
-		resp = &wire.Response{Verdict: result.NotRun, Reason: a.Reason}
+	if c.action.Kind == admit.Refuse {
+		resp = &wire.Response{Verdict: result.NotRun, Reason: c.action.Reason}
 		return resp, g.end(c, resp, started, 0, false)
 	}
 	resp, err := t.call(ctx, started, deadline, r)
@@ -333,6 +338,9 @@
 	}
 	g.calls[r.ID] = c
 	g.apply(now, g.gate.Arrive(now, admit.Call{ID: r.ID, Class: r.Class, Deadline: deadline}))
+	if !c.decided {
+		c.wake = make(chan struct{})
+	}
 	return g.target, nil, nil
 }
 
@@ -366,7 +374,9 @@
 	}
 	g.fence.Finish(now, id, resp.Verdict, kept)
 	delete(g.calls, id)
-	close(c.ended)
+	if c.ended != nil {
+		close(c.ended)
+	}
 	g.mu.Unlock()
 	g.metrics.verdicts[resp.Verdict].Inc()
 	if took > 0 {
@@ -407,6 +417,9 @@
 	if c == nil || v.Gate != g.Incarnation {
 		return nil, answer
 	}
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
 	// A call that waits is refused now; one that runs is not affected.
 	g.apply(now, g.gate.Cancel(now, v.ID))
 	return c, nil
@@ -441,7 +454,10 @@
 			g.metrics.started[c.request.Class].Inc()
 		}
 		g.record(now, c.request, v, a.Reason)
-		c.decided <- a
+		c.action, c.decided = a, true
+		if c.wake != nil {
+			close(c.wake)
+		}
 	}
 }
 
