--- a/core/member/queue.go
+++ b/core/member/queue.go
@@ -30,6 +30,10 @@
 // enqueue schedules an update for forwarding in place of an earlier one of the
 // same node.
 func (t *Table) enqueue(r Record, observer ident.NodeID) {
+	if t.quiet && r.Node != t.self.Node {
+		delete(t.queue, r.Node)
+		return
+	}
 	left := transmitFactor * int(math.Ceil(math.Log2(float64(len(t.members)+2))))
 	t.queue[r.Node] = &queued{update: Update{Record: r, Observer: observer}, left: left}
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -39,6 +39,8 @@
 		rings rings
 		// queue holds the updates that are still to be forwarded, one per node.
 		queue map[ident.NodeID]*queued
+		// quiet is set while updates are merged that need no forwarding.
+		quiet bool
 		// probes holds the probes without an answer, one per neighbour.
 		probes map[ident.NodeID]*probe
 		// relays holds the probes sent for others, by their sequence.
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -8,6 +8,9 @@
 	"hickoryrail/core/sets"
 )
 
+// quietFactor is the growth of the table from which a SyncReply counts as joining.
+const quietFactor = 2
+
 // Receive handles a message. The transport has verified from; the content of the
 // message does not name its sender.
 func (t *Table) Receive(now clock.Millis, from ident.NodeID, m Message) []Action {
@@ -15,9 +18,12 @@
 		return nil
 	}
 	t.learnKnown(m.Known)
+	// A node that has just joined learns the fleet and need not tell it.
+	t.quiet = m.Kind == SyncReply && len(m.Updates) > quietFactor*t.Size()
 	for _, u := range m.Updates {
 		t.apply(now, from, u)
 	}
+	t.quiet = false
 	sender := t.members[from]
 	if sender != nil {
 		sender.knows = m.Known
