--- /dev/null
+++ b/io/bench/member.go
@@ -0,0 +1,192 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// memberSeed fixes churn and the table's choices.
+	memberSeed = 2024
+	// memberSeconds is the virtual time of one row.
+	memberSeconds = 120
+	// memberTick is the interval of ticks.
+	memberTick clock.Millis = 100
+	// messageOverhead estimates what a control message adds on the wire: IPv4
+	// and UDP headers (28), a short QUIC header with its tag (about 24) and a
+	// stream frame (4). Its acknowledgement costs about ackBytes in return.
+	messageOverhead = 56
+	ackBytes        = 60
+)
+
+// memberDriver plays the neighbours of one real table.
+type memberDriver struct {
+	table   *member.Table
+	records []member.Record
+	random  *rand.Rand
+	// pending are the copies of updates that neighbours still have to deliver.
+	pending []member.Record
+	digest  uint64
+	// sent and received are bytes; messages counts both directions.
+	sent, received, messages int
+	busy                     time.Duration
+}
+
+// MemberCost measures the bytes, messages, processor time and memory of one table
+// against the size of the fleet and the rate of updates in it. Each update
+// reaches the table in as many copies as every node forwards it. Published figures
+// use 100, 200, 400 and 800 members.
+func MemberCost(sizes ...int) (*Table, error) {
+	t := NewTable(fmt.Sprintf("membership cost of one node, %d s of virtual time, seed %d", memberSeconds, memberSeed),
+		"members", "updates/s in the fleet", "messages/s", "bytes/s sent", "bytes/s received",
+		"CPU share %", "heap bytes per member")
+	for _, n := range sizes {
+		for _, churn := range []float64{0, 0.5, 2} {
+			before := heapBytes()
+			d, err := newMemberDriver(n)
+			if err != nil {
+				return nil, err
+			}
+			// The driver's own records are not the table's memory.
+			own := float64(heapBytes()-before) - float64(n*recordBytes)
+			if err := d.run(churn); err != nil {
+				return nil, err
+			}
+			t.Add(n, churn, float64(d.messages)/memberSeconds, float64(d.sent)/memberSeconds, float64(d.received)/memberSeconds,
+				100*d.busy.Seconds()/memberSeconds, own/float64(n))
+			runtime.KeepAlive(d)
+		}
+	}
+	return t, nil
+}
+
+// recordBytes is the size of a record in the driver, with its texts.
+const recordBytes = 280
+
+// heapBytes returns the live bytes on the heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
+
+// memberRecord returns the record of node i with texts of usual length.
+func memberRecord(i int) member.Record {
+	name := fmt.Sprintf("wdh-north-roster-%03d", i)
+	return member.Record{
+		Node: ident.NodeID(name), Incarnation: 1_790_000_000_000, PeerAddress: fmt.Sprintf("10.20.%d.%d:7000", i/250, i%250),
+		FailureDomain: "wdh-north", Region: "windhoek", Service: "roster", Target: ident.TargetID("t-" + name),
+		TargetState: member.Ready, GateIncarnation: 1_790_000_000_000, Held: 1300,
+	}
+}
+
+// newMemberDriver returns a table that knows n members.
+func newMemberDriver(n int) (*memberDriver, error) {
+	d := &memberDriver{random: rand.New(rand.NewPCG(memberSeed, uint64(n)))}
+	d.table = member.New(memberRecord(0), member.DefaultConfig(), rand.New(rand.NewPCG(memberSeed, 1)))
+	all := member.Message{Kind: member.SyncReply, Final: true}
+	for i := range n {
+		d.records = append(d.records, memberRecord(i))
+		all.Updates = append(all.Updates, member.Update{Record: d.records[i]})
+	}
+	body, err := wire.EncodeControl(wire.Control{Member: &all})
+	if err != nil {
+		return nil, err
+	}
+	return d, d.deliver(0, d.records[1].Node, body)
+}
+
+// deliver hands an encoded message to the table and plays the answers.
+func (d *memberDriver) deliver(now clock.Millis, from ident.NodeID, body []byte) error {
+	start := time.Now()
+	c, err := wire.DecodeControl(body)
+	if err != nil {
+		return err
+	}
+	actions := d.table.Receive(now, from, *c.Member)
+	d.busy += time.Since(start)
+	return d.answer(now, actions)
+}
+
+// answer encodes what the table sends and acknowledges its probes.
+func (d *memberDriver) answer(now clock.Millis, actions []member.Action) error {
+	for _, a := range actions {
+		start := time.Now()
+		body, err := wire.EncodeControl(wire.Control{Member: &a.Message})
+		d.busy += time.Since(start)
+		if err != nil {
+			return err
+		}
+		d.messages++
+		d.sent += len(body) + messageOverhead
+		d.received += ackBytes
+		d.digest = a.Message.Digest
+		if a.Message.Kind == member.Probe {
+			if err := d.send(now, a.To, member.Message{Kind: member.ProbeAck, Sequence: a.Message.Sequence}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// send delivers a message of a neighbour, with copies of updates.
+func (d *memberDriver) send(now clock.Millis, from ident.NodeID, m member.Message) error {
+	self := d.table.Self()
+	m.Known = member.Known{Incarnation: self.Incarnation, Change: self.Change, Held: self.Held}
+	m.Digest, m.Held = d.digest, self.Held
+	// A neighbour puts at most 6 records on a message, as the table itself does.
+	k := min(6, len(d.pending))
+	for _, r := range d.pending[:k] {
+		m.Updates = append(m.Updates, member.Update{Record: r})
+	}
+	d.pending = d.pending[k:]
+	body, err := wire.EncodeControl(wire.Control{Member: &m})
+	if err != nil {
+		return err
+	}
+	d.messages++
+	d.received += len(body) + messageOverhead
+	d.sent += ackBytes
+	return d.deliver(now, from, body)
+}
+
+// run lets the virtual time pass with the given rate of updates.
+func (d *memberDriver) run(churn float64) error {
+	d.busy, d.sent, d.received, d.messages = 0, 0, 0, 0
+	copies := 3 * int(math.Ceil(math.Log2(float64(len(d.records)))))
+	due := 0.0
+	for now := memberTick; now <= memberSeconds*clock.Second; now += memberTick {
+		for due += churn * float64(memberTick/clock.Second); due >= 1; due-- {
+			r := &d.records[1+d.random.IntN(len(d.records)-1)]
+			r.Change++
+			for range copies {
+				d.pending = append(d.pending, *r)
+			}
+		}
+		start := time.Now()
+		actions := d.table.Tick(now)
+		d.busy += time.Since(start)
+		if err := d.answer(now, actions); err != nil {
+			return err
+		}
+		// Four neighbours probe the table, each once a second.
+		if step := int(now/memberTick) % 10; step%2 == 0 && step < 8 {
+			neighbours := d.table.Neighbours()
+			from := neighbours[len(neighbours)-1-step/2].Node
+			if err := d.send(now, from, member.Message{Kind: member.Probe, Sequence: uint64(now)}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
