io/proxy: follow the retry budget's new prices

Change: the ingress uses Start and End. A hedge asks the policy only if a target is left that was not tried, so that no tokens are spent for nothing.

--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -111,9 +111,7 @@
 // decide asks the policy what follows from an attempt.
 func (in *Ingress) decide(c *call, resp *wire.Response) retry.Decision {
 	now := in.Clock.Now()
-	if resp.Verdict == result.MayHaveRun {
-		c.state.Uncertain = true
-	}
+	c.state.End(resp.Verdict)
 	in.mu.Lock()
 	d := in.Policy.Decide(now, c.state, resp.Verdict)
 	in.mu.Unlock()
@@ -126,10 +124,7 @@
 // try makes one attempt, with a hedge beside it if the route allows one.
 func (in *Ingress) try(c *call, choice route.Choice) *wire.Response {
 	now := in.Clock.Now()
-	c.state.Sent++
-	c.state.SentAt = now
-	c.state.Outstanding = 1
-	defer func() { c.state.Outstanding = 0 }()
+	c.state.Start(now)
 	c.tried = append(c.tried, choice.Target.ID)
 	in.mu.Lock()
 	at, ok := in.Policy.HedgeAt(c.state, in.Picker.Delay95(c.route.Service))
@@ -157,17 +152,19 @@
 	if !started {
 		return resp
 	}
-	c.state.Sent++
+	c.state.Start(in.Clock.Now())
 	if resp.Verdict == result.Ran {
 		h.stop()
+		c.state.End(result.Ran)
 		return resp
 	}
 	other := <-h.result
 	h.stop()
-	if other.Verdict == result.Ran || other.Verdict == result.MayHaveRun {
-		return other
+	if other.Verdict == result.NotRun {
+		resp, other = other, resp
 	}
-	return resp
+	c.state.End(resp.Verdict)
+	return other
 }
 
 // startHedge starts the second attempt unless the first has ended, the policy
@@ -178,15 +175,16 @@
 	if h.closed {
 		return
 	}
+	if len(c.view.Targets(c.route.Service)) <= len(c.tried) {
+		return // asking the policy would spend tokens for nothing
+	}
 	now := in.Clock.Now()
 	in.mu.Lock()
 	d := in.Policy.Hedge(now, c.state)
 	var choice route.Choice
 	ok := d.Kind == retry.Hedge
 	if ok {
-		if choice, ok = in.Picker.Pick(now, c.route.Service, c.tried); !ok {
-			in.Policy.Budget.Return()
-		}
+		choice, ok = in.Picker.Pick(now, c.route.Service, c.tried)
 	}
 	in.mu.Unlock()
 	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
