Shorten the tests of the platform side further

Change: the fixed seed is set in init, and the lost Head write is one test for submitted and scheduled edits. Every property and check stays.

--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -1,10 +1,10 @@
 package model
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"testing"
 
@@ -15,15 +15,13 @@
 	"hickoryrail/core/ident"
 )
 
-// TestMain fixes rapid's seed, so that every run tries the same cases. A
-// -rapid.seed on the command line takes precedence.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "500"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+// init fixes rapid's seed, so that every run tries the same cases. A -rapid.seed
+// on the command line takes precedence.
+func init() {
+	err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"), flag.Set("rapid.checks", "500"))
+	if err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 // drawConfiguration returns a valid configuration of few names and values, so
--- a/core/order/submission_test.go
+++ b/core/order/submission_test.go
@@ -1,11 +1,11 @@
 package order
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 
@@ -18,15 +18,13 @@
 	"hickoryrail/core/result"
 )
 
-// TestMain fixes rapid's seed, so that every run tries the same cases. A
-// -rapid.seed on the command line takes precedence.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "400"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+// init fixes rapid's seed, so that every run tries the same cases. A -rapid.seed
+// on the command line takes precedence.
+func init() {
+	err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"), flag.Set("rapid.checks", "400"))
+	if err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 type (
@@ -332,16 +330,11 @@
 func drive(w *world, m *Submission) Action {
 	o := w.begin(m.Edit, m.DryRun)
 	for o.next.Kind < Accept {
-		w.perfect(o)
+		w.run(o, OK, true)
 	}
 	return o.next
 }
 
-// perfect carries out the operator's next action without a fault.
-func (w *world) perfect(o *operator) {
-	w.run(o, OK, true)
-}
-
 // TestRacingOperators guards against a lost update: of two edits on one base,
 // with fields in common that they set to different values, exactly one is
 // accepted and the other is refused with exactly those fields; otherwise both
@@ -365,7 +358,7 @@
 			w.begin(Edit{ID: "b", Base: 1, Configuration: configuration(b...)}, false),
 		}
 		for operators[0].next.Kind < Accept || operators[1].next.Kind < Accept {
-			w.perfect(operators[rapid.IntRange(0, 1).Draw(t, "turn")])
+			w.run(operators[rapid.IntRange(0, 1).Draw(t, "turn")], OK, true)
 		}
 		outcome := []ActionKind{operators[0].next.Kind, operators[1].next.Kind}
 		slices.Sort(outcome)
@@ -398,7 +391,7 @@
 		drive(w, &Submission{Edit: Edit{ID: "first", Configuration: configuration(1)}})
 		o := w.begin(Edit{ID: "paused", Base: 1, Configuration: configuration(1, 1)}, false)
 		for o.next.Kind != WriteHead {
-			w.perfect(o)
+			w.run(o, OK, true)
 		}
 		w.run(o, Unknown, true)
 		for i := range rapid.IntRange(1, 2*MaxRecent).Draw(t, "others") {
@@ -406,7 +399,7 @@
 			is.Equal(a.Kind, Accept)
 		}
 		for o.next.Kind < Accept {
-			w.perfect(o)
+			w.run(o, OK, true)
 		}
 		is.Equal(o.next.Kind, Accept)
 		is.Equal(o.next.Version, ident.Version(2))
@@ -475,11 +468,11 @@
 			operators = append(operators, w.begin(e, false))
 		}
 		for range rapid.IntRange(10, 60).Draw(t, "steps") {
-			w.perfect(rapid.SampledFrom(operators).Draw(t, "operator"))
+			w.run(rapid.SampledFrom(operators).Draw(t, "operator"), OK, true)
 		}
 		for _, o := range operators {
 			for o.next.Kind < Accept {
-				w.perfect(o)
+				w.run(o, OK, true)
 			}
 			w.checkEnd(o)
 		}
--- a/io/files/files_test.go
+++ b/io/files/files_test.go
@@ -40,15 +40,13 @@
 `
 )
 
-// TestMain fixes rapid's seed, so that every run tries the same cases. A
-// -rapid.seed on the command line takes precedence.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+// init fixes rapid's seed, so that every run tries the same cases. A -rapid.seed
+// on the command line takes precedence.
+func init() {
+	err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"), flag.Set("rapid.checks", "100"))
+	if err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 // parseText parses two texts.
--- a/io/plat/submitter_test.go
+++ b/io/plat/submitter_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -22,15 +21,13 @@
 	"hickoryrail/io/stub"
 )
 
-// TestMain fixes rapid's seed, so that every run tries the same cases. A
-// -rapid.seed on the command line takes precedence.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "200"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+// init fixes rapid's seed, so that every run tries the same cases. A -rapid.seed
+// on the command line takes precedence.
+func init() {
+	err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"), flag.Set("rapid.checks", "200"))
+	if err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 // services returns a configuration with the given slots per service.
@@ -129,21 +126,39 @@
 }
 
 // TestLostHeadWrite guards against an acceptance that is reported as NotRun when
-// the store goes down before the lost answer can be settled.
+// the store goes down before the lost answer can be settled, and against a
+// schedule row that is removed before the outcome of its edit is known.
 func TestLostHeadWrite(t *testing.T) {
-	is := is.New(t)
 	ctx := context.Background()
-	store := loseHead()
-	s := submitter(store, clock.NewManual(0))
-	e := order.Edit{ID: "a", Configuration: services(1)}
-	_, err := s.Submit(ctx, e)
-	is.Equal(result.Of(err), result.MayHaveRun)
-	store.Before = nil
-	store.SetDown(false)
-	o, err := s.Submit(ctx, e)
-	is.NoErr(err)
-	is.Equal(o.State, order.Released)
-	is.Equal(o.Version, ident.Version(1))
+	for _, scheduled := range []bool{false, true} {
+		is := is.New(t)
+		store := loseHead()
+		s := submitter(store, clock.NewManual(100))
+		e := order.Edit{ID: "a", Configuration: services(1)}
+		submit := func() ([]plat.Outcome, error) {
+			o, err := s.Submit(ctx, e)
+			return []plat.Outcome{o}, err
+		}
+		if scheduled {
+			is.NoErr(s.Schedule(ctx, e, 1))
+			submit = func() ([]plat.Outcome, error) { return s.AcceptDue(ctx) }
+		}
+		_, err := submit()
+		is.Equal(result.Of(err), result.MayHaveRun)
+		store.Before = nil
+		store.SetDown(false)
+		rows, err := plat.ReadSchedule(ctx, store)
+		is.NoErr(err)
+		is.Equal(len(rows) == 1, scheduled)
+		outcomes, err := submit()
+		is.NoErr(err)
+		is.Equal(len(outcomes), 1)
+		is.Equal(outcomes[0].State, order.Released)
+		is.Equal(outcomes[0].Version, ident.Version(1))
+		rows, err = plat.ReadSchedule(ctx, store)
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+	}
 }
 
 // TestRacingSubmitters guards against a lost update when operators on many nodes
@@ -319,30 +334,6 @@
 	is.Equal(outcomes[1].Version, ident.Version(2))
 }
 
-// TestScheduleLostHeadWrite guards against a schedule row that is removed before
-// the outcome of its edit is known.
-func TestScheduleLostHeadWrite(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	store := loseHead()
-	s := submitter(store, clock.NewManual(100))
-	is.NoErr(s.Schedule(ctx, order.Edit{ID: "a", Configuration: services(1)}, 1))
-	_, err := s.AcceptDue(ctx)
-	is.Equal(result.Of(err), result.MayHaveRun)
-	store.Before = nil
-	store.SetDown(false)
-	rows, err := plat.ReadSchedule(ctx, store)
-	is.NoErr(err)
-	is.Equal(len(rows), 1)
-	outcomes, err := s.AcceptDue(ctx)
-	is.NoErr(err)
-	is.Equal(len(outcomes), 1)
-	is.Equal(outcomes[0].Version, ident.Version(1))
-	rows, err = plat.ReadSchedule(ctx, store)
-	is.NoErr(err)
-	is.Equal(len(rows), 0)
-}
-
 // TestScheduleLateWrite guards against a row that the scheduler writes after the
 // acceptance, and against damaged rows and objects that hold up other edits.
 func TestScheduleLateWrite(t *testing.T) {
