Measure fleets of node processes, and export the missing metrics

Cause: docs/CAPACITY.md needs slopes from real processes; the lease holder, the operators' refusals and the decision log's counts were not visible. Change: cmd/fleet cost starts 10 to 160 node processes and reports control bytes, processor time, memory, source load and convergence with a fitted line. Node ports come from below the ephemeral range, since outgoing connections took ports between their choice and their use. The node counts members at each scrape, tells its lease, and registers the metrics of the log and the operators' server.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"os"
 	"sort"
+	"strconv"
+	"strings"
 
+	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/io/procs"
 )
@@ -29,12 +32,18 @@
 func run() error {
 	binary := flag.String("binary", "./hickoryrail", "hickoryrail `program`")
 	nodes := flag.Int("nodes", 6, "number of node processes")
+	sizes := flag.String("sizes", "10,20,40,80,160", "fleet sizes of the cost measurement")
+	round := flag.Int("round", 100, "setting Spread.RoundMillis of the cost measurement")
+	csv := flag.String("csv", "", "`file` for the rows of the cost measurement")
 	flag.Usage = usage
 	flag.Parse()
 	if flag.NArg() == 0 {
 		usage()
 		return fmt.Errorf("name a trial")
 	}
+	if flag.Arg(0) == "cost" {
+		return cost(*binary, *sizes, *round, *csv)
+	}
 	for _, name := range flag.Args() {
 		disturb, ok := trials[name]
 		if !ok {
@@ -49,6 +58,37 @@
 	return nil
 }
 
+// cost measures idle fleets of several sizes.
+func cost(binary, list string, round int, csv string) error {
+	var sizes []int
+	for _, text := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return err
+		}
+		sizes = append(sizes, n)
+	}
+	table, err := procs.Cost(context.Background(), sizes, func(n int) *procs.Fleet {
+		f := newFleet(binary, n)
+		f.RoundMillis = clock.Millis(round)
+		return f
+	})
+	if err != nil {
+		return err
+	}
+	if csv != "" {
+		f, err := os.Create(csv)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := table.CSV(f); err != nil {
+			return err
+		}
+	}
+	return table.Print(os.Stdout)
+}
+
 // newFleet returns a fleet in three failure domains with two services.
 func newFleet(binary string, nodes int) *procs.Fleet {
 	return &procs.Fleet{
@@ -65,6 +105,6 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	fmt.Fprintf(os.Stderr, "usage: fleet [flags] TRIAL...\ntrials: %v\n", names)
+	fmt.Fprintf(os.Stderr, "usage: fleet [flags] TRIAL...\ntrials: %v, or cost\n", names)
 	flag.PrintDefaults()
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -187,6 +187,16 @@
 	return max(f.releases.HighestSeen(), f.table.RecordedHeld()), f.table.Size() > 1
 }
 
+// records returns the records of all known nodes.
+func (f *fleet) records() []member.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return nil
+	}
+	return f.table.Records()
+}
+
 // size returns the number of live nodes in a region.
 func (f *fleet) size(region ident.Region) int {
 	f.mu.Lock()
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -1,20 +1,31 @@
 package node
 
-import "github.com/prometheus/client_golang/prometheus"
-
-// metrics are the node's own counters and gauges.
-type metrics struct {
-	version         prometheus.Gauge
-	malformed       prometheus.Counter
-	refusedReleases prometheus.Counter
-	holdsLease      prometheus.Gauge
-	sourceErrors    prometheus.Counter
-	members         *prometheus.GaugeVec
-}
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hickoryrail/core/member"
+)
+
+type (
+	// metrics are the node's own counters and gauges.
+	metrics struct {
+		version         prometheus.Gauge
+		malformed       prometheus.Counter
+		refusedReleases prometheus.Counter
+		holdsLease      prometheus.Gauge
+		sourceErrors    prometheus.Counter
+	}
 
-// newMetrics registers the metrics.
-func newMetrics(r prometheus.Registerer) (*metrics, error) {
-	m := &metrics{
+	// memberCollector counts the known nodes by state at each scrape.
+	memberCollector struct {
+		fleet       *fleet
+		description *prometheus.Desc
+	}
+)
+
+// newMetrics creates the metrics.
+func newMetrics() *metrics {
+	return &metrics{
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "hickoryrail_release_version", Help: "Version of the release in force; 0 means none.",
 		}),
@@ -30,14 +41,33 @@
 		sourceErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hickoryrail_source_errors_total", Help: "Failed calls to the platform by the reader and at start.",
 		}),
-		members: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "hickoryrail_members", Help: "Known nodes by state.",
-		}, []string{"state"}),
 	}
-	for _, c := range []prometheus.Collector{m.version, m.malformed, m.refusedReleases, m.holdsLease, m.sourceErrors, m.members} {
+}
+
+// register registers the metrics and the count of members.
+func (m *metrics) register(r prometheus.Registerer, f *fleet) error {
+	members := &memberCollector{fleet: f, description: prometheus.NewDesc(
+		"hickoryrail_members", "Known nodes by state.", []string{"state"}, nil)}
+	for _, c := range []prometheus.Collector{m.version, m.malformed, m.refusedReleases, m.holdsLease, m.sourceErrors, members} {
 		if err := r.Register(c); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return m, nil
+	return nil
+}
+
+// Describe sends the description of the count.
+func (c *memberCollector) Describe(out chan<- *prometheus.Desc) {
+	out <- c.description
+}
+
+// Collect sends the count of each state.
+func (c *memberCollector) Collect(out chan<- prometheus.Metric) {
+	var counts [member.Left + 1]int
+	for _, r := range c.fleet.records() {
+		counts[min(r.State, member.Left)]++
+	}
+	for state, n := range counts {
+		out <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, float64(n), member.State(state).String())
+	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -104,12 +104,15 @@
 	n := &Node{settings: s, kernel: kernel.New(), clock: clock.NewSystem()}
 	n.logger = logs.New(output, s.Log.Level)
 	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, logCapacity)
-	n.registry = stats.NewRegistry()
-	if n.metrics, err = newMetrics(n.registry); err != nil {
+	n.registry, n.metrics = stats.NewRegistry(), newMetrics()
+	if err := n.decisions.Register(n.registry); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
 	n.wireDataPath(identity, random)
 	n.wireFleet(random)
+	if err := n.metrics.register(n.registry, n.fleet); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
 	n.wireServers(identity, credential)
 	return n, n.register()
 }
@@ -204,6 +207,7 @@
 	n.announce = &admin.Targets{Listen: s.TargetAddress, Target: s.Target, Service: s.Service, Control: n.targets}
 	n.operators = &admin.Operators{
 		Listen: s.OperatorAddress, Certificate: identity.Certificate, Credential: credential, Source: n.status,
+		Registry: n.registry,
 		Control: &edits{clock: n.clock, store: n.reader.store, submitter: n.reader.submitter, accepted: n.reader.accepted},
 	}
 }
--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,6 +13,7 @@
 	"hickoryrail/core/lease"
 	"hickoryrail/core/order"
 	"hickoryrail/core/result"
+	"hickoryrail/io/admin"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/plat"
 )
@@ -63,6 +65,10 @@
 	nextPoll clock.Millis
 	backoff  clock.Millis
 
+	// held is the epoch of the lease while this node holds it, or 0. The status
+	// reads it beside the reader's goroutine.
+	held atomic.Uint64
+
 	// wanted holds one request for a release of the source.
 	wanted chan struct{}
 	// due holds one request to accept scheduled edits.
@@ -127,9 +133,11 @@
 		row, err := r.store.WriteRow(ctx, lease.Key(r.region), lease.EncodeRow(a.Row), a.Revision)
 		return r.lease.Written(r.clock.Now(), r.replyOf(err), row.Revision)
 	case lease.Hold:
+		r.held.Store(uint64(a.Epoch))
 		r.metrics.holdsLease.Set(1)
 		r.note(reasonLeaseHeld)
 	case lease.Lose:
+		r.held.Store(0)
 		r.metrics.holdsLease.Set(0)
 		r.note(reasonLeaseLost)
 	case lease.Stopped:
@@ -139,6 +147,15 @@
 	return nil
 }
 
+// leaseStatus returns the lease as far as this node knows it: only the holder is
+// sure of its epoch.
+func (r *reader) leaseStatus() admin.LeaseStatus {
+	if epoch := r.held.Load(); epoch > 0 {
+		return admin.LeaseStatus{Holder: r.lease.Self, Epoch: ident.Epoch(epoch)}
+	}
+	return admin.LeaseStatus{}
+}
+
 // replyOf converts the error of a call to the store.
 func (r *reader) replyOf(err error) lease.Reply {
 	switch {
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -43,7 +43,7 @@
 	out := admin.Status{
 		Node: self.Node, FailureDomain: self.FailureDomain, Region: self.Region, Incarnation: self.Incarnation,
 		Version: f.inForce.Version, EditID: f.inForce.EditID, Digest: f.inForce.Digest,
-		Reasons: s.reasons(), Members: make(map[string]int),
+		Reasons: s.reasons(), Members: make(map[string]int), Lease: s.reader.leaseStatus(),
 	}
 	for _, r := range f.table.Records() {
 		out.Members[r.State.String()]++
@@ -54,10 +54,6 @@
 			})
 		}
 	}
-	f.metrics.members.Reset()
-	for state, n := range out.Members {
-		f.metrics.members.WithLabelValues(state).Set(float64(n))
-	}
 	return out
 }
 
@@ -99,9 +95,9 @@
 
 // records returns all records and the newest version that this node knows of.
 func (s *status) records() ([]member.Record, ident.Version) {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	return s.fleet.table.Records(), s.fleet.releases.HighestSeen()
+	records := s.fleet.records()
+	newest, _ := s.fleet.peerFloor()
+	return records, newest
 }
 
 // ask returns the version that a member has in force, or 0 without an answer.
--- a/io/procs/fleet.go
+++ b/io/procs/fleet.go
@@ -14,6 +14,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +37,8 @@
 	stopTimeout = 15 * time.Second
 	// pollPeriod is the period of checks.
 	pollPeriod = 20 * time.Millisecond
+	// firstPort and lastPort bound the ports of the nodes.
+	firstPort, lastPort = 20_000, 32_000
 )
 
 type (
@@ -78,8 +82,15 @@
 	}
 )
 
-// errNotReady reports nodes that did not become ready in time.
-var errNotReady = errors.New("procs: fleet did not become ready in time")
+var (
+	// errNotReady reports nodes that did not become ready in time.
+	errNotReady = errors.New("procs: fleet did not become ready in time")
+	// errNoPort reports that every port is taken.
+	errNoPort = errors.New("procs: no free port")
+	// nextPort counts the ports that were tried, so that none is given out twice
+	// before it is bound.
+	nextPort atomic.Int64
+)
 
 // Start starts the platform, the nodes and the targets.
 func (f *Fleet) Start(ctx context.Context) error {
@@ -181,18 +192,25 @@
 	return fmt.Sprintf("%s@%s", p.name, p.peer)
 }
 
-// freeAddress returns a loopback address whose TCP and UDP port are free.
+// freeAddress returns a loopback address whose TCP and UDP port are free. Ports
+// are below the range that the kernel gives to outgoing connections, so that none
+// of those takes a port before its node does.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	u, err := net.ListenPacket("udp", l.Addr().String())
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", address)
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		return address, u.Close()
 	}
-	return l.Addr().String(), u.Close()
+	return "", errNoPort
 }
 
 // start starts the process.
