Measure steady state apart from starts, and tick less often

Cause: the rise of control bytes from 80 nodes on was the gossip of the starts, not steady state: 8 s do not carry the records of 80 starts. The idle timers of a node ran up to 50 times a second, and the reader copied every record to count its region. Change: cmd/fleet cost settles for 40 s; timers run at 4 to 20 Hz; the table counts a region without copies.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
@@ -34,6 +35,7 @@
 	nodes := flag.Int("nodes", 6, "number of node processes")
 	sizes := flag.String("sizes", "10,20,40,80,160", "fleet sizes of the cost measurement")
 	round := flag.Int("round", 100, "setting Spread.RoundMillis of the cost measurement")
+	settle := flag.Duration("settle", 40*time.Second, "time before the cost measurement, in which the starts are gossiped")
 	csv := flag.String("csv", "", "`file` for the rows of the cost measurement")
 	flag.Usage = usage
 	flag.Parse()
@@ -42,7 +44,7 @@
 		return fmt.Errorf("name a trial")
 	}
 	if flag.Arg(0) == "cost" {
-		return cost(*binary, *sizes, *round, *csv)
+		return cost(*binary, *sizes, *round, *settle, *csv)
 	}
 	for _, name := range flag.Args() {
 		disturb, ok := trials[name]
@@ -59,7 +61,7 @@
 }
 
 // cost measures idle fleets of several sizes.
-func cost(binary, list string, round int, csv string) error {
+func cost(binary, list string, round int, settle time.Duration, csv string) error {
 	var sizes []int
 	for _, text := range strings.Split(list, ",") {
 		n, err := strconv.Atoi(text)
@@ -68,7 +70,7 @@
 		}
 		sizes = append(sizes, n)
 	}
-	table, err := procs.Cost(context.Background(), sizes, func(n int) *procs.Fleet {
+	table, err := procs.Cost(context.Background(), sizes, settle, func(n int) *procs.Fleet {
 		f := newFleet(binary, n)
 		f.RoundMillis = clock.Millis(round)
 		return f
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -21,7 +21,7 @@
 const (
 	// fleetTick is the period of the membership and distribution timers. Views
 	// are rebuilt at most once per tick for changes of members.
-	fleetTick = 50 * time.Millisecond
+	fleetTick = 100 * time.Millisecond
 )
 
 // Reasons of releases and members.
@@ -201,13 +201,7 @@
 func (f *fleet) size(region ident.Region) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, r := range f.table.Records() {
-		if r.Region == region && r.State == member.Alive {
-			n++
-		}
-	}
-	return n
+	return f.table.SizeOf(region)
 }
 
 // limits returns the slots and connections of a service's targets. A service
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -208,7 +208,7 @@
 	n.operators = &admin.Operators{
 		Listen: s.OperatorAddress, Certificate: identity.Certificate, Credential: credential, Source: n.status,
 		Registry: n.registry,
-		Control: &edits{clock: n.clock, store: n.reader.store, submitter: n.reader.submitter, accepted: n.reader.accepted},
+		Control:  &edits{clock: n.clock, store: n.reader.store, submitter: n.reader.submitter, accepted: n.reader.accepted},
 	}
 }
 
--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -20,7 +20,7 @@
 
 const (
 	// readerTick is the period at which the lease and the poll are checked.
-	readerTick = 50 * time.Millisecond
+	readerTick = 200 * time.Millisecond
 	// maxBackoff bounds the delay between polls of a source that fails.
 	maxBackoff = 5 * clock.Second
 	// callTimeout bounds one call to the platform by the reader.
--- a/io/node/stalls.go
+++ b/io/node/stalls.go
@@ -16,7 +16,7 @@
 
 const (
 	// stallTick is the period at which connections are checked.
-	stallTick = 20 * time.Millisecond
+	stallTick = 50 * time.Millisecond
 	// maxEchoes bounds the concurrent echo requests.
 	maxEchoes = 64
 )
--- a/io/node/targets.go
+++ b/io/node/targets.go
@@ -18,7 +18,7 @@
 	// longer routable; a target renews every second.
 	renewalMillis = 3 * clock.Second
 	// lapseTick is the period at which the renewal is checked.
-	lapseTick = 100 * time.Millisecond
+	lapseTick = 250 * time.Millisecond
 )
 
 // targets keeps the state of the one target beside the node.
--- a/io/procs/cost.go
+++ b/io/procs/cost.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// settle is the time after the start before the measurement.
-	settle = 8 * time.Second
 	// window is the time of the measurement.
 	window = 10 * time.Second
 	// releases is the number of releases whose convergence is measured.
@@ -42,16 +40,17 @@
 	perRelease float64
 }
 
-// Cost measures idle node processes at each fleet size: control bytes, processor
+// Cost measures idle node processes at each fleet size, once they have settled for
+// a while after their start: control bytes, processor
 // time, memory, the load on the source and the convergence time.
-func Cost(ctx context.Context, sizes []int, fleet func(nodes int) *Fleet) (*bench.Table, error) {
+func Cost(ctx context.Context, sizes []int, settle time.Duration, fleet func(nodes int) *Fleet) (*bench.Table, error) {
 	out := bench.NewTable(
-		fmt.Sprintf("idle node processes, %s window, mean per node; the last row extends the lines to %d", window, fleetSize),
+		fmt.Sprintf("idle node processes, %s after the last became ready, %s window, mean per node; the last row extends the lines to %d", settle, window, fleetSize),
 		"nodes", "control B/s sent", "CPU % of a core", "resident MB", "source reads/s", "source writes/s",
 		"convergence ms, longest of 3", "control B per node and release")
 	var costs []cost
 	for _, n := range sizes {
-		c, err := costOf(ctx, fleet(n))
+		c, err := costOf(ctx, settle, fleet(n))
 		if err != nil {
 			return nil, fmt.Errorf("%d nodes: %w", n, err)
 		}
@@ -86,7 +85,7 @@
 }
 
 // costOf starts a fleet, measures it and stops it.
-func costOf(ctx context.Context, f *Fleet) (c cost, err error) {
+func costOf(ctx context.Context, settle time.Duration, f *Fleet) (c cost, err error) {
 	defer func() {
 		if stopped := f.Stop(); err == nil {
 			err = stopped
