io/proxy: bound the drain's wait for stored outcomes

Cause: Drain waited for the store without regard to its context. HEAD and the Host field were not tested. Change: Drain returns with its context's error. TestRequestReachesTarget covers HEAD on a reused connection and Host; it was seen to fail with the length of a HEAD answer lost, and with its body awaited.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -214,9 +214,22 @@
 		case <-t.C:
 		}
 	}
-	err := in.server.ShutdownWithContext(ctx)
-	in.group.Wait()
-	return err
+	if err := in.server.ShutdownWithContext(ctx); err != nil {
+		return err
+	}
+	settled := make(chan struct{})
+	var group conc.WaitGroup
+	group.Go(func() {
+		in.group.Wait()
+		close(settled)
+	})
+	select {
+	case <-settled:
+		group.Wait()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err() // outcomes that are not stored yet leave their claims
+	}
 }
 
 // handle answers one request. Everything that attempts need is copied out of
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -96,6 +96,11 @@
 	s.peak = max(s.peak, s.open.Add(1))
 	s.mu.Unlock()
 	defer s.open.Add(-1)
+	w.Header().Set("X-Host", r.Host)
+	if r.Method == http.MethodHead {
+		w.Header().Set("Content-Length", "42")
+		return
+	}
 	w.Header().Set("X-Echo", r.Header.Get("X-Unique"))
 	w.Header().Set("X-Hop", r.Header.Get("X-Drop")+r.Header.Get("Te")+r.Header.Get("Keep-Alive"))
 	switch {
@@ -232,6 +237,14 @@
 	is.Equal(resp.Header.Get("X-Echo"), "one")
 	is.Equal(resp.Header.Get("X-Hop"), "")
 	is.Equal(resp.Header.Get(headerVerdict), "Ran")
+	is.Equal(resp.Header.Get("X-Host"), in.Address())
+	for range 2 { // the connection to the target is used again
+		resp, err = http.Head("http://" + in.Address() + "/check/echo")
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.Equal(resp.ContentLength, int64(42))
+		is.Equal(resp.Header.Get(headerVerdict), "Ran")
+	}
 	resp, _, err = send(http.DefaultClient, in, "/nowhere", "")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 404)
