io/proxy: name key rows by once.RowKey

Cause: the ingress had a row name of its own beside that of core/once. Change: there is one function. Conclusion: TestKeyedRequestRunsOnce passes.

--- a/io/proxy/keyed.go
+++ b/io/proxy/keyed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"time"
 
@@ -38,7 +37,7 @@
 	if in.Store == nil {
 		return notRun(reasonNoStore)
 	}
-	k := &keyClaim{in: in, row: keyRow(c.route.Service, caller, key)}
+	k := &keyClaim{in: in, row: once.RowKey(c.route.Service, ident.CallerID(caller), key)}
 	k.claim = once.Claim{ID: ident.RequestID(c.id), StoreMillis: in.StoreMillis}
 	now := in.Clock.Now()
 	decided := k.run(k.claim.Begin(now))
@@ -165,11 +164,3 @@
 	resp.Body = body
 	return resp
 }
-
-// keyRow returns the name of the row of a caller's key. The lengths keep
-// different pairs of caller and key apart.
-func keyRow(service ident.ServiceName, caller, key string) string {
-	text := binary.AppendUvarint(nil, uint64(len(caller)))
-	text = append(append(text, caller...), key...)
-	return "Key/" + string(service) + "/" + ident.Sum(text).String()
-}
