io/peer: try a second connection if the first is retired

Cause: a connection can be retired between its choice and its use, for example by the idle timeout; the call then failed as not run although the peer is fine. Change: a call tries one further connection. A test covers the idle timeout, the cap and a call that is longer than the idle timeout.

--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -12,8 +12,13 @@
 	"hickoryrail/core/result"
 )
 
-// readChunk is the size of the reads whose progress is reported.
-const readChunk = 16 << 10
+const (
+	// readChunk is the size of the reads whose progress is reported.
+	readChunk = 16 << 10
+	// connectAttempts bounds the connections tried for a call; one can be retired
+	// between its choice and its use.
+	connectAttempts = 2
+)
 
 var (
 	// errTooLarge reports a body above the limit.
@@ -49,11 +54,16 @@
 	if len(body) > t.Limits.BodyBytes {
 		return nil, result.NewError(result.NotRun, reasonTooLarge, errTooLarge)
 	}
-	c, err := t.connect(ctx, to, address, fresh)
-	if err != nil {
-		return nil, err
+	for range connectAttempts {
+		c, err := t.connect(ctx, to, address, fresh)
+		if err != nil {
+			return nil, err
+		}
+		if c.begin() {
+			return t.exchange(ctx, c, frameCall, body)
+		}
 	}
-	return t.exchange(ctx, c, frameCall, body)
+	return nil, result.NewError(result.NotRun, reasonRetired, nil)
 }
 
 // Echo sends a few bytes on a dialed call connection and returns nil once they
@@ -65,6 +75,9 @@
 	if c == nil {
 		return result.NewError(result.NotRun, reasonLost, errNoConnection)
 	}
+	if !c.begin() {
+		return result.NewError(result.NotRun, reasonRetired, nil)
+	}
 	sent := []byte(t.Self)
 	got, err := t.exchange(ctx, c, frameEcho, sent)
 	if err == nil && !bytes.Equal(got, sent) {
@@ -74,10 +87,8 @@
 }
 
 // exchange sends a frame on a stream of its own and reads the answer to its end.
+// The caller has called begin.
 func (t *Transport) exchange(ctx context.Context, c *connection, frame byte, body []byte) ([]byte, error) {
-	if !c.begin() {
-		return nil, result.NewError(result.NotRun, reasonRetired, nil)
-	}
 	defer c.finish()
 	s, err := c.quic.OpenStreamSync(ctx)
 	if err != nil {
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -321,6 +321,49 @@
 	is.NoErr(err)
 }
 
+// TestConnectionsAreBounded guards against unused connections that stay open,
+// connections above the cap, and a long call that the idle timeout ends.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	directory := fleet(t)
+	serve := func(p *Transport) {
+		p.OnCall = func(_ context.Context, _ ident.NodeID, body []byte) []byte {
+			if string(body) == "long" {
+				time.Sleep(2500 * time.Millisecond)
+			}
+			return answerTo(body)
+		}
+	}
+	server := start(t, directory, "b", serve)
+	other := start(t, directory, "a", serve)
+	events := make(chan Event, 1024)
+	observe := func(e Event) { events <- e }
+	brief := start(t, directory, "a", func(p *Transport) { p.Limits.IdleMillis, p.OnEvent = 1000, observe })
+	capped := start(t, directory, "a", func(p *Transport) { p.Limits.Connections, p.Limits.IdleMillis, p.OnEvent = 1, 600_000, observe })
+	next := func(kind EventKind) ConnectionID {
+		for e := range events {
+			if e.Kind == kind {
+				return e.Connection
+			}
+		}
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := brief.Call(ctx, "b", server.Address(), []byte("long"))
+	is.NoErr(err)
+	is.Equal(next(Opened), next(Closed))
+	_, err = brief.Call(ctx, "b", server.Address(), []byte("x"))
+	is.NoErr(err)
+	is.Equal(next(Opened), next(Closed))
+	_, err = capped.Call(ctx, "b", server.Address(), []byte("x"))
+	is.NoErr(err)
+	_, err = capped.Call(ctx, "a", other.Address(), []byte("x"))
+	is.NoErr(err)
+	first := next(Opened)
+	is.Equal(next(Closed), first)
+}
+
 // forwarder passes UDP packets between callers and one server. It can freeze the
 // flows that exist, while new ones work.
 type forwarder struct {
