core/once: refuse a key that comes with another request

Cause: the ingress replayed the outcome of a stored key whatever the new request was, so a caller that reused a key for another order got the answer of the first one and took it for its own. A submission with another fingerprint is refused with 422 and NotRun in every state of the row, also after a release: a key stands for one request. Rows without a fingerprint do not decode, so rows of earlier versions are refused as MayHaveRun. Headers are not part of the fingerprint, because the remaining time or a trace id may differ. docs/platform.md lists no rows and is unchanged.

--- a/core/once/atmostonce_test.go
+++ b/core/once/atmostonce_test.go
@@ -49,13 +49,17 @@
 		// ran counts executions by submission, ranKey by key.
 		ran    map[string]int
 		ranKey map[string]int
+		// forwarded holds the request that was forwarded first for each key.
+		forwarded map[string]string
 	}
 
 	// submission is one caller's request at one ingress node.
 	submission struct {
-		w        *world
-		name     string
-		key      string
+		w    *world
+		name string
+		key  string
+		// request stands for method, URI and body.
+		request  string
 		claim    *Claim
 		policy   *retry.Policy
 		attempt  retry.Attempt
@@ -142,8 +146,8 @@
 }
 
 // submit starts a request; an empty key means none.
-func (w *world) submit(name, key string) *submission {
-	s := &submission{w: w, name: name, key: key}
+func (w *world) submit(name, key, request string) *submission {
+	s := &submission{w: w, name: name, key: key, request: request}
 	s.policy = &retry.Policy{Budget: &retry.Budget{PerSecond: 1e6}, Rand: rand.New(rand.NewPCG(1, uint64(len(name))))}
 	s.policy.Budget.Call(w.now)
 	s.attempt = retry.Attempt{Route: model.Route{MaxAttempts: 3}, Deadline: w.now + 5000}
@@ -151,7 +155,7 @@
 		s.forward()
 		return s
 	}
-	s.claim = &Claim{ID: ident.RequestID(name), StoreMillis: 200}
+	s.claim = &Claim{ID: ident.RequestID(name), Fingerprint: Fingerprint("POST", []byte("/order"), []byte(request)), StoreMillis: 200}
 	s.act(s.claim.Begin(w.now))
 	w.after(200, func() { s.tick() })
 	if w.faulty && rapid.IntRange(0, 4).Draw(w.t, "crashes") == 0 {
@@ -182,6 +186,9 @@
 		case ReplayOutcome:
 			s.answer(result.Ran)
 			s.replayed = true
+			if string(a.Outcome.Body) != s.request {
+				s.w.t.Fatalf("%s got the outcome of request %s", s.name, a.Outcome.Body)
+			}
 		case RefuseRequest:
 			s.answer(a.Verdict)
 		}
@@ -254,6 +261,10 @@
 		if s.forwards++; s.forwards > 1 {
 			w.t.Fatalf("%s was forwarded twice", s.name)
 		}
+		if other, ok := w.forwarded[s.key]; ok && s.key != "" && other != s.request {
+			w.t.Fatalf("requests %s and %s were forwarded for key %s", other, s.request, s.key)
+		}
+		w.forwarded[s.key] = s.request
 	}
 	s.attempt.Start(w.now)
 	id := ident.RequestID(fmt.Sprintf("%s.%d", s.name, s.attempt.Sent))
@@ -319,7 +330,7 @@
 	}
 	s.answer(d.Verdict)
 	if s.claim != nil {
-		s.act(s.claim.Finished(w.now, d.Verdict, Outcome{Status: 200, Body: []byte(s.name)}))
+		s.act(s.claim.Finished(w.now, d.Verdict, Outcome{Status: 200, Body: []byte(s.request)}))
 	}
 }
 
@@ -328,7 +339,8 @@
 func newWorld(t *rapid.T, faulty bool) *world {
 	w := &world{
 		t: t, faulty: faulty, values: map[string][]byte{}, written: map[string]ident.Revision{},
-		ran: map[string]int{}, ranKey: map[string]int{}, records: rapid.IntRange(1, 6).Draw(t, "records"),
+		ran: map[string]int{}, ranKey: map[string]int{}, forwarded: map[string]string{},
+		records: rapid.IntRange(1, 6).Draw(t, "records"),
 	}
 	for i := range 3 {
 		w.gates = append(w.gates, w.newGate(ident.Incarnation(10*i+10)))
@@ -343,15 +355,17 @@
 
 // TestAtMostOnce guards against a second execution of one action, and against
 // NotRun for a request that ran, over losses, duplicates, late arrivals, voids,
-// gate restarts, store faults, crashes and resubmission through another node.
+// gate restarts, store faults, crashes and resubmission through another node. It
+// also guards against a key that serves two different requests.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, true)
 		var all []*submission
 		for i := range rapid.IntRange(1, 4).Draw(t, "submissions") {
 			key := rapid.SampledFrom([]string{"", "k1", "k1", "k2"}).Draw(t, "key")
+			request := rapid.SampledFrom([]string{"r1", "r1", "r2"}).Draw(t, "request")
 			w.after(clock.Millis(rapid.IntRange(0, 600).Draw(t, "start")), func() {
-				all = append(all, w.submit(fmt.Sprintf("s%d", i), key))
+				all = append(all, w.submit(fmt.Sprintf("s%d", i), key, request))
 			})
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "restarts") {
@@ -388,13 +402,19 @@
 	})
 }
 
-// TestResubmissionWithoutFaults guards against a claim that refuses everything.
+// TestResubmissionWithoutFaults guards against a claim that refuses everything,
+// and against one that replays or forwards for another request.
 func TestResubmissionWithoutFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, false)
-		first := w.submit("first", "k")
+		first := w.submit("first", "k", "r1")
 		w.run()
-		second := w.submit("second", "k")
+		other := w.submit("other", "k", "r2")
+		w.run()
+		if other.verdict != result.NotRun || other.replayed || other.forwards > 0 || w.ran["other"] > 0 {
+			t.Fatalf("another request: %s, replayed %t, forwarded %d times", other.verdict, other.replayed, other.forwards)
+		}
+		second := w.submit("second", "k", "r1")
 		w.run()
 		if first.verdict != result.Ran || w.ran["first"] != 1 || !second.replayed || w.ran["second"] != 0 {
 			t.Fatalf("first %s, second replayed %t", first.verdict, second.replayed)
--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -44,6 +44,7 @@
 const (
 	ReasonStore     = "table service did not confirm the claim of the idempotency key"
 	ReasonClaimed   = "an earlier request with this idempotency key has no stored outcome"
+	ReasonOther     = "idempotency key was used with another request"
 	ReasonMalformed = "row of the idempotency key is malformed"
 )
 
@@ -89,6 +90,8 @@
 	Claim struct {
 		// ID names the submission; never used by another one.
 		ID ident.RequestID
+		// Fingerprint is that of the request; not zero.
+		Fingerprint ident.Digest
 		// StoreMillis bounds the time from Begin to Forward.
 		StoreMillis clock.Millis
 
@@ -182,9 +185,9 @@
 	c.tries, c.retryAt = 0, now
 	switch v {
 	case result.NotRun:
-		c.target = KeyRow{ClaimID: c.ID, State: Released}
+		c.target = c.row(Released, nil)
 	case result.Ran:
-		c.target = KeyRow{ClaimID: c.ID, State: Stored, Outcome: &o}
+		c.target = c.row(Stored, &o)
 	default:
 		c.stage = settled // the claim without outcome refuses every resubmission
 		return nil
@@ -225,9 +228,14 @@
 	return c.stage == settled
 }
 
+// row returns the own row.
+func (c *Claim) row(s State, o *Outcome) KeyRow {
+	return KeyRow{ClaimID: c.ID, Fingerprint: c.Fingerprint, State: s, Outcome: o}
+}
+
 // claim writes the own claim over a row that is absent or released.
 func (c *Claim) claim(condition ident.Revision) []Action {
-	return c.write(KeyRow{ClaimID: c.ID, State: Claimed}, condition)
+	return c.write(c.row(Claimed, nil), condition)
 }
 
 // won forwards the request, unless the caller was refused meanwhile.
@@ -258,6 +266,8 @@
 	switch {
 	case err != nil:
 		return c.end(Action{Kind: RefuseRequest, Verdict: result.MayHaveRun, Reason: ReasonMalformed})
+	case row.Fingerprint != c.Fingerprint:
+		return c.end(Action{Kind: RefuseRequest, Verdict: result.NotRun, Reason: ReasonOther})
 	case row.State == Stored:
 		return c.end(Action{Kind: ReplayOutcome, Outcome: *row.Outcome, Verdict: result.Ran, Reason: ReasonKept})
 	case row.State == Released:
@@ -304,7 +314,7 @@
 	out := c.end(Action{Kind: RefuseRequest, Verdict: v, Reason: reason})
 	if claimed {
 		c.stage, c.tries, c.retryAt = storing, 0, now+settleMillis
-		c.target = KeyRow{ClaimID: c.ID, State: Released}
+		c.target = c.row(Released, nil)
 	}
 	return out
 }
--- a/core/once/row.go
+++ b/core/once/row.go
@@ -48,7 +48,11 @@
 	KeyRow struct {
 		// ClaimID names the submission that wrote the row; not empty.
 		ClaimID ident.RequestID
-		State   State
+		// Fingerprint is that of the request for which the key was first claimed;
+		// not zero. It never changes, because a row is written over only by a
+		// submission of the same request.
+		Fingerprint ident.Digest
+		State       State
 		// Outcome is set if State is Stored, and only then; its fields stand beside
 		// the others in the row.
 		*Outcome
@@ -59,7 +63,7 @@
 	// errRow reports a row value that this version does not understand.
 	errRow = errors.New("key row is malformed")
 	// rowFields are the names of a row's fields.
-	rowFields = []string{"ClaimID", "State", "Status", "Headers", "Body", "Object"}
+	rowFields = []string{"ClaimID", "Fingerprint", "State", "Status", "Headers", "Body", "Object"}
 )
 
 // RowKey returns the key of the row for a caller's idempotency key. The length of
@@ -69,6 +73,15 @@
 	return "Key/" + string(service) + "/" + sum.String()
 }
 
+// Fingerprint returns the SHA-256 of a request as it is forwarded. The lengths of
+// method and URI go into the hash, so no two requests share their text. Headers
+// are left out, because a resubmission differs in some of them, such as the
+// remaining time or a trace id.
+func Fingerprint(method string, uri, body []byte) ident.Digest {
+	text := fmt.Appendf(nil, "%d/%d/%s%s", len(method), len(uri), method, uri)
+	return ident.Sum(append(text, body...))
+}
+
 // EncodeKeyRow returns the row as JSON.
 func EncodeKeyRow(r KeyRow) ([]byte, error) {
 	if err := r.check(); err != nil {
@@ -107,6 +120,8 @@
 	switch {
 	case r.ClaimID == "":
 		return fmt.Errorf("%w: no ClaimID", errRow)
+	case r.Fingerprint.IsZero():
+		return fmt.Errorf("%w: no Fingerprint", errRow)
 	case r.State != Claimed && r.State != Released && r.State != Stored:
 		return fmt.Errorf("%w: state %q", errRow, r.State)
 	case (r.State == Stored) != (r.Outcome != nil):
--- a/core/once/row_test.go
+++ b/core/once/row_test.go
@@ -2,27 +2,61 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickoryrail/core/ident"
 )
 
 // TestRowRefusesInexactJSON guards against rows that another writer could read
 // differently.
 func TestRowRefusesInexactJSON(t *testing.T) {
 	is := is.New(t)
+	_, err := DecodeKeyRow(rowText(`{"ClaimID":"a","Fingerprint":F,"State":"Claimed"}`))
+	is.NoErr(err) // the others differ from it by their fault
 	for _, text := range []string{
-		`{"ClaimID":"a","State":"Claimed"}x`, `{"ClaimID":"a","State":"Claimed","ClaimID":"b"}`,
-		`{"claimid":"a","State":"Claimed"}`, `{"ClaimID":"a","State":"Claimed","More":1}`,
-		`{"ClaimID":"a","State":"Stored"}`, `{"ClaimID":"a","State":"Claimed","Status":200}`,
-		`{"ClaimID":"a","State":"Stored","status":200}`, `{"ClaimID":"a","State":"Stored","Status":99}`,
-		`{"ClaimID":"a","State":"Stored","Status":200,"Headers":[["a"]]}`, ``, `null`, `[]`,
+		`{"ClaimID":"a","State":"Claimed"}`, `{"ClaimID":"a","Fingerprint":null,"State":"Claimed"}`,
+		`{"ClaimID":"a","Fingerprint":"","State":"Claimed"}`, `{"ClaimID":"a","Fingerprint":"12ab","State":"Claimed"}`,
+		`{"ClaimID":"a","Fingerprint":"` + strings.Repeat("0", 64) + `","State":"Claimed"}`,
+		`{"ClaimID":"a","Fingerprint":F,"Fingerprint":F,"State":"Claimed"}`,
+		`{"ClaimID":"a","Fingerprint":F,"State":"Claimed"}x`, `{"ClaimID":"a","Fingerprint":F,"State":"Claimed","ClaimID":"b"}`,
+		`{"claimid":"a","Fingerprint":F,"State":"Claimed"}`, `{"ClaimID":"a","Fingerprint":F,"State":"Claimed","More":1}`,
+		`{"ClaimID":"a","Fingerprint":F,"State":"Stored"}`, `{"ClaimID":"a","Fingerprint":F,"State":"Claimed","Status":200}`,
+		`{"ClaimID":"a","Fingerprint":F,"State":"Stored","status":200}`, `{"ClaimID":"a","Fingerprint":F,"State":"Stored","Status":99}`,
+		`{"ClaimID":"a","Fingerprint":F,"State":"Stored","Status":200,"Headers":[["a"]]}`, ``, `null`, `[]`,
 	} {
-		_, err := DecodeKeyRow([]byte(text))
+		_, err := DecodeKeyRow(rowText(text))
 		is.True(err != nil) // refused
 	}
 }
 
+// rowText returns a row whose F stands for a fingerprint.
+func rowText(text string) []byte {
+	f := Fingerprint("POST", []byte("/order"), []byte("pallet"))
+	return []byte(strings.ReplaceAll(text, ":F", `:"`+f.String()+`"`))
+}
+
+// TestFingerprint guards against two requests that count as the same one.
+func TestFingerprint(t *testing.T) {
+	request := rapid.Custom(func(t *rapid.T) [3]string {
+		var r [3]string
+		for i := range r {
+			r[i] = rapid.StringMatching("[a/1]{0,3}").Draw(t, "part")
+		}
+		return r
+	})
+	of := func(r [3]string) ident.Digest { return Fingerprint(r[0], []byte(r[1]), []byte(r[2])) }
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := request.Draw(t, "a"), request.Draw(t, "b")
+		if (a == b) != (of(a) == of(b)) {
+			t.Fatalf("%q and %q", a, b)
+		}
+	})
+}
+
 // TestRowKey guards against two callers who share a row.
 func TestRowKey(t *testing.T) {
 	is := is.New(t)
@@ -33,9 +67,9 @@
 // FuzzDecodeKeyRow guards against a panic, and against a row that changes when it
 // is written back.
 func FuzzDecodeKeyRow(f *testing.F) {
-	f.Add([]byte(`{"ClaimID":"a","State":"Claimed"}`))
-	f.Add([]byte(`{"ClaimID":"a","State":"Stored","Status":201,"Headers":[["A","b"]],"Body":"eA=="}`))
-	f.Add([]byte(`{"ClaimID":"a","State":"Released","Body":null}`))
+	f.Add(rowText(`{"ClaimID":"a","Fingerprint":F,"State":"Claimed"}`))
+	f.Add(rowText(`{"ClaimID":"a","Fingerprint":F,"State":"Stored","Status":201,"Headers":[["A","b"]],"Body":"eA=="}`))
+	f.Add(rowText(`{"ClaimID":"a","Fingerprint":F,"State":"Released","Body":null}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		row, err := DecodeKeyRow(value)
 		if err != nil {
--- a/io/proxy/keyed.go
+++ b/io/proxy/keyed.go
@@ -39,7 +39,10 @@
 		return notRun(reasonNoStore)
 	}
 	k := &keyClaim{in: in, row: keyRow(c.route.Service, caller, key)}
-	k.claim = once.Claim{ID: ident.RequestID(c.id), StoreMillis: in.StoreMillis}
+	k.claim = once.Claim{
+		ID: ident.RequestID(c.id), StoreMillis: in.StoreMillis,
+		Fingerprint: once.Fingerprint(c.request.Method, c.request.URI, c.request.Body),
+	}
 	now := in.Clock.Now()
 	decided := k.run(k.claim.Begin(now))
 	for len(decided) == 0 {
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -336,6 +336,43 @@
 	is.Equal(status, 200) // a claim that ended as not run can be claimed again
 }
 
+// TestKeyOfAnotherRequest guards against an outcome replayed for a request that
+// it does not belong to, and against forwarding such a request.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	target := newStandIn(t)
+	f := newFleet(t, 4, target)
+	store := &table{rows: make(map[string]plat.Row)}
+	first, second := newIngress(t, f), newIngress(t, f)
+	first.Store, second.Store = store, store
+	order := func(in *Ingress, method, path, body string) (int, string) {
+		req, err := http.NewRequest(method, "http://"+in.Address()+path, strings.NewReader(body))
+		is.NoErr(err)
+		req.Header.Set(headerKey, "k1")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		in.group.Wait() // the outcome is stored
+		return resp.StatusCode, resp.Header.Get(headerVerdict)
+	}
+	status, _ := order(first, http.MethodPost, "/order/echo", "pallet")
+	is.Equal(status, 200)
+	for _, other := range [][3]string{
+		{http.MethodPost, "/order/echo", "another"},
+		{http.MethodPost, "/order/echo?copy=1", "pallet"},
+		{http.MethodPut, "/order/echo", "pallet"},
+	} {
+		status, verdict := order(second, other[0], other[1], other[2])
+		is.Equal(status, 422)
+		is.Equal(verdict, "NotRun")
+	}
+	is.Equal(target.runsOf("pallet"), 1)
+	is.Equal(target.runsOf("another"), 0)
+	status, verdict := order(second, http.MethodPost, "/order/echo", "pallet")
+	is.Equal(status, 200) // the refusals left the stored outcome
+	is.Equal(verdict, "Ran")
+}
+
 // TestHedgeAnswersFirst guards against a hedge that is not sent, that is sent to
 // the same target, or whose loser holds its slot.
 func TestHedgeAnswersFirst(t *testing.T) {
