Offer the bench command

Cause: measurements ran only as verbose tests with flags of their own, and the tests of io/bench took long under the race detector because they used nearly the published sizes. Change: io/bench lists its measurements with a name, a line of help and a function; hickoryrail bench lists them, runs them by name or all, writes one CSV file per table with -csv, and uses tiny sizes with -quick. Sizes are parameters, with the published ones as constants.

--- a/cmd/hickoryrail/main.go
+++ b/cmd/hickoryrail/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 
+	"hickoryrail/io/bench"
 	"hickoryrail/io/cmds"
 	"hickoryrail/io/demo"
 	"hickoryrail/io/node"
@@ -18,6 +19,7 @@
 		Node:   node.Run,
 		Target: newTarget,
 		Demo:   demoBackend(),
+		Bench:  benchBackend(),
 	}))
 }
 
@@ -26,6 +28,12 @@
 	return &target.Server{ID: o.ID, Service: o.Service, Listen: o.Listen, Node: o.Node, DelayMillis: o.DelayMillis}
 }
 
+// benchBackend runs measurements.
+func benchBackend() cmds.Backend {
+	var r bench.Runner
+	return cmds.Backend{Flags: r.SetFlags, Run: r.Run}
+}
+
 // demoBackend runs the demonstration; the nodes' log lines go to a file if one
 // is named.
 func demoBackend() cmds.Backend {
--- a/io/bench/path.go
+++ b/io/bench/path.go
@@ -62,6 +62,9 @@
 	}
 )
 
+// PathLength is the time of each rate and way for figures that are published.
+const PathLength = 10 * time.Second
+
 // PathDelay measures the delay that the whole path (ingress, QUIC, gateway,
 // target) adds to a direct call, in one run for each rate in calls/s.
 func PathDelay(length time.Duration, rates ...int) (*Table, error) {
--- a/io/cmds/node.go
+++ b/io/cmds/node.go
@@ -21,12 +21,15 @@
   hickoryrail demo
 `
 	// benchUsage is the help of the bench command.
-	benchUsage = `hickoryrail bench [flags] [measurement ...]
+	benchUsage = `hickoryrail bench [-csv DIR] [-quick] [NAME ...]
 
-Runs measurements on loopback addresses and prints a table of each.
+Runs measurements on loopback addresses and prints a table of each. Without a name it lists
+them; "all" stands for all of them. Flags come before the names.
 
-Example:
+Examples:
   hickoryrail bench
+  hickoryrail bench -csv figures choice admission
+  hickoryrail bench -quick all
 `
 )
 
