io/peer: let Drain pass callers that went silent

Cause: Drain waits until each caller has closed its call connection. A caller whose connection went silent has closed it, but the close never arrives, so a planned stop lasted until the idle time of 30 s or failed at the end of the grace time. Change: once every call has been answered, Drain waits for a connection only as long as packets arrive; after 3 s without one it passes on. Callers give up a silent connection after 2 s by default, so their calls have ended by then. Limit: an answer larger than the peer's window that is being written to a silent connection still holds Drain until the idle time or the grace time.

--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/sourcegraph/conc/panics"
+	"github.com/sourcegraph/conc/pool"
 )
 
 const (
@@ -14,6 +15,10 @@
 	// flushDelay lets the last control messages, such as a leave, go out and be
 	// repeated once before the connections close.
 	flushDelay = 100 * time.Millisecond
+	// drainSilence is the time without a packet after which Drain no longer waits
+	// for a caller. Callers give up a silent connection after 2 s by default, so
+	// their calls on it have ended.
+	drainSilence = 3 * time.Second
 )
 
 // serveCalls takes the streams of an accepted call connection.
@@ -105,8 +110,8 @@
 
 // Drain refuses new calls of peers as not run and returns once every call that
 // was running has been answered and its caller has closed the connection, which
-// proves that the answer arrived, and once the queued control messages were sent.
-// It returns the error of ctx if that ends first.
+// proves that the answer arrived, or went silent, and once the queued control
+// messages were sent. It returns the error of ctx if that ends first.
 func (t *Transport) Drain(ctx context.Context) error {
 	t.mu.Lock()
 	t.draining = true
@@ -120,14 +125,14 @@
 	for _, c := range calls {
 		t.goAway(c)
 	}
+	if err := t.awaitIdle(ctx); err != nil {
+		return err
+	}
+	ends := pool.New().WithErrors()
 	for _, c := range calls {
-		select {
-		case <-c.quic.Context().Done():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		ends.Go(func() error { return awaitEnd(ctx, c) })
 	}
-	if err := t.awaitIdle(ctx); err != nil {
+	if err := ends.Wait(); err != nil {
 		return err
 	}
 	select {
@@ -138,6 +143,28 @@
 	}
 }
 
+// awaitEnd returns once the caller has closed a connection whose calls are all
+// answered, or has been silent: it would acknowledge the request to go away, which
+// is repeated until then.
+func awaitEnd(ctx context.Context, c *connection) error {
+	ticker := time.NewTicker(drainSilence)
+	defer ticker.Stop()
+	for heard := c.quic.ConnectionStats().PacketsReceived; ; {
+		select {
+		case <-c.quic.Context().Done():
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		n := c.quic.ConnectionStats().PacketsReceived
+		if n == heard {
+			return nil
+		}
+		heard = n
+	}
+}
+
 // awaitIdle returns once no call runs and no control message is queued.
 func (t *Transport) awaitIdle(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -253,6 +253,24 @@
 	g.Wait()
 }
 
+// TestDrainPassesSilentCaller guards against a planned stop that waits for a
+// caller whose connection went silent.
+func TestDrainPassesSilentCaller(t *testing.T) {
+	is := is.New(t)
+	directory := fleet(t)
+	server := start(t, directory, "b", func(p *Transport) {
+		p.OnCall = func(_ context.Context, _ ident.NodeID, body []byte) []byte { return answerTo(body) }
+	})
+	client := start(t, directory, "a", nil)
+	f := newForwarder(t, server.Address())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := client.Call(ctx, "b", f.address(), []byte("1"))
+	is.NoErr(err)
+	f.freeze()
+	is.NoErr(server.Drain(ctx)) // ctx ends before the idle time of the connection
+}
+
 // isDraining reports whether a drain has begun.
 func (t *Transport) isDraining() bool {
 	t.mu.Lock()
