Drive the lease by plat.Keeper and read bodies without a large first chunk

Change: the reader uses Keeper and counts the platform's calls through Meter; bodies grow from 2 KiB.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -109,7 +109,9 @@
 		return nil, eris.Wrap(err, "node: metrics")
 	}
 	n.wireDataPath(identity, random)
-	n.wireFleet(random)
+	if err := n.wireFleet(random); err != nil {
+		return nil, err
+	}
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
@@ -167,9 +169,12 @@
 }
 
 // wireFleet creates membership, distribution and the reader.
-func (n *Node) wireFleet(random *rand.Rand) {
+func (n *Node) wireFleet(random *rand.Rand) error {
 	s := n.settings
-	store := &plat.Client{URL: s.PlatformURL}
+	store := &plat.Meter{Store: &plat.Client{URL: s.PlatformURL}, Clock: n.clock, Registry: n.registry}
+	if err := store.Open(); err != nil {
+		return eris.Wrap(err, "node: metrics")
+	}
 	n.ingress.Store = store
 	distribution := spread.DefaultConfig()
 	distribution.RoundMillis = s.Spread.RoundMillis
@@ -190,14 +195,19 @@
 		submitter:  &plat.Submitter{Store: store, Clock: n.clock, Seed: random.Uint64()},
 		pollMillis: s.Spread.PollMillis, startMillis: s.Spread.StartSourceMillis,
 		delayMillis: startSpreadMillis * clock.Millis(random.Float64()),
-		lease:       lease.Lease{Self: s.Node, Timing: timing, Rand: fork(random)},
 		wanted:      make(chan struct{}, 1), due: make(chan struct{}, 1),
 	}
+	n.reader.keeper = &plat.Keeper{
+		Store: store, Clock: n.clock, Region: s.Region,
+		Lease:  &lease.Lease{Self: s.Node, Timing: timing, Rand: fork(random)},
+		OnHold: n.reader.held, OnLose: n.reader.lost,
+	}
 	n.fleet.readRelease = func(ident.Version, ident.Digest) { n.reader.want() }
 	n.fleet.needSource = n.reader.want
 	n.targets = &targets{clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
 	n.status = &status{fleet: n.fleet, reader: n.reader, stopping: n.stopping.Load}
 	n.tableRandom = fork(random)
+	return nil
 }
 
 // wireServers creates the HTTP servers besides the ingress.
--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -10,9 +9,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
-	"hickoryrail/core/lease"
 	"hickoryrail/core/order"
-	"hickoryrail/core/result"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/plat"
@@ -58,16 +55,15 @@
 	// not read together.
 	delayMillis clock.Millis
 
-	lease lease.Lease
+	keeper *plat.Keeper
 	// lastPulse is the last progress of the pulse that the lease was told of.
 	lastPulse clock.Millis
 	// nextPoll is when to poll next, and backoff the delay after a failure.
 	nextPoll clock.Millis
 	backoff  clock.Millis
 
-	// held is the epoch of the lease while this node holds it, or 0. The status
-	// reads it beside the reader's goroutine.
-	held atomic.Uint64
+	// epoch is that of the lease while this node holds it, or 0.
+	epoch atomic.Uint64
 
 	// wanted holds one request for a release of the source.
 	wanted chan struct{}
@@ -82,95 +78,61 @@
 	wg.Go(func() { r.findFloor(ctx) })
 	wg.Go(func() { r.fetchWanted(ctx) })
 	wg.Go(func() { r.acceptDue(ctx) })
+	wg.Go(func() { r.pollSource(ctx) })
+	return r.keeper.Run(ctx)
+}
+
+// pollSource tells the lease of the fleet, and polls the source while this node
+// holds the lease.
+func (r *reader) pollSource(ctx context.Context) {
 	ticker := time.NewTicker(readerTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			r.release()
-			return ctx.Err()
+			return
 		case <-ticker.C:
 			r.tick(ctx)
 		}
 	}
 }
 
-// tick follows the pulse, drives the lease and polls.
+// tick follows the pulse of the region's reader, and polls if it is due.
 func (r *reader) tick(ctx context.Context) {
 	now := r.clock.Now()
-	r.lease.Fleet = r.fleet.size(r.region)
-	if progress := now - r.fleet.pulseAge(r.region); progress > r.lastPulse && !r.lease.Holds(now) {
+	r.keeper.SetFleet(r.fleet.size(r.region))
+	if progress := now - r.fleet.pulseAge(r.region); progress > r.lastPulse {
 		r.lastPulse = progress
-		r.lease.Pulse(now)
+		r.keeper.Pulse()
 	}
-	r.perform(ctx, r.lease.Tick(now))
-	if now = r.clock.Now(); r.lease.Holds(now) && now >= r.nextPoll {
+	if r.keeper.Holds() && now >= r.nextPoll {
 		r.poll(ctx)
 	}
 }
 
-// perform carries out the lease's actions and feeds back their outcomes.
-func (r *reader) perform(ctx context.Context, actions []lease.Action) {
-	for len(actions) > 0 {
-		a := actions[0]
-		actions = append(actions[1:], r.act(ctx, a)...)
-	}
+// held notes that this node took the lease.
+func (r *reader) held(e ident.Epoch) {
+	r.epoch.Store(uint64(e))
+	r.metrics.holdsLease.Set(1)
+	r.note(reasonLeaseHeld)
 }
 
-// act carries out one action of the lease and returns those that follow.
-func (r *reader) act(ctx context.Context, a lease.Action) []lease.Action {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	switch a.Kind {
-	case lease.Read:
-		row, err := r.store.ReadRow(ctx, lease.Key(r.region))
-		var value lease.Row
-		if err == nil && row.Revision > 0 {
-			value, err = lease.DecodeRow(row.Value)
-		}
-		return r.lease.ReadDone(r.clock.Now(), r.replyOf(err), value, row.Revision)
-	case lease.Write:
-		row, err := r.store.WriteRow(ctx, lease.Key(r.region), lease.EncodeRow(a.Row), a.Revision)
-		return r.lease.Written(r.clock.Now(), r.replyOf(err), row.Revision)
-	case lease.Hold:
-		r.held.Store(uint64(a.Epoch))
-		r.metrics.holdsLease.Set(1)
-		r.note(reasonLeaseHeld)
-	case lease.Lose:
-		r.held.Store(0)
-		r.metrics.holdsLease.Set(0)
-		r.note(reasonLeaseLost)
-	case lease.Stopped:
-
-		r.metrics.holdsLease.Set(0)
-	}
-	return nil
+// lost notes that this node lost the lease or gave it up.
+func (r *reader) lost(ident.Epoch) {
+	r.epoch.Store(0)
+	r.metrics.holdsLease.Set(0)
+	r.note(reasonLeaseLost)
 }
 
 // leaseStatus returns the lease as far as this node knows it: only the holder is
 // sure of its epoch.
 func (r *reader) leaseStatus() admin.LeaseStatus {
-	if epoch := r.held.Load(); epoch > 0 {
-		return admin.LeaseStatus{Holder: r.lease.Self, Epoch: ident.Epoch(epoch)}
+	if epoch := r.epoch.Load(); epoch > 0 {
+		return admin.LeaseStatus{Holder: r.keeper.Lease.Self, Epoch: ident.Epoch(epoch)}
 	}
 	return admin.LeaseStatus{}
 }
 
-// replyOf converts the error of a call to the store.
-func (r *reader) replyOf(err error) lease.Reply {
-	switch {
-	case err == nil:
-		return lease.OK
-	case errors.Is(err, plat.ErrConflict):
-		return lease.Conflict
-	}
-	r.metrics.sourceErrors.Inc()
-	if result.Of(err) == result.NotRun {
-		return lease.Failed
-	}
-	return lease.Unknown
-}
-
 // poll reads the head and tells the fleet; after a failure it backs off.
 func (r *reader) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -184,7 +146,7 @@
 		return
 	}
 	r.backoff, r.nextPoll = 0, now+r.pollMillis
-	r.fleet.readerPulse(r.region, r.lease.Epoch())
+	r.fleet.readerPulse(r.region, ident.Epoch(r.epoch.Load()))
 	if revision > 0 {
 		r.fleet.sourceHead(head.Version, head.Digest)
 	}
@@ -302,13 +264,6 @@
 	return true
 }
 
-// release gives the lease up, so that another node takes it at once.
-func (r *reader) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	r.perform(ctx, r.lease.Stop(r.clock.Now()))
-}
-
 // note writes a line to the decision log.
 func (r *reader) note(reason string) {
 	r.log.Record(logs.Decision{At: r.clock.Now(), Kind: logs.Lease, Reason: reason})
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/quic-go/quic-go"
 
@@ -13,8 +14,8 @@
 )
 
 const (
-	// readChunk is the size of the reads whose progress is reported.
-	readChunk = 16 << 10
+	// firstRead is the size of the first buffer for a body; most bodies fit.
+	firstRead = 2 << 10
 	// connectAttempts bounds the connections tried for a call; one can be retired
 	// between its choice and its use.
 	connectAttempts = 2
@@ -130,17 +131,19 @@
 // readAll reads up to limit bytes until the end of the stream and reports
 // progress. A reset or lost connection is an error, never a short body.
 func readAll(r io.Reader, limit int, progress func(int)) ([]byte, error) {
-	var body []byte
-	chunk := make([]byte, 0, min(limit+1, readChunk))
+	body := make([]byte, 0, min(limit+1, firstRead))
 	for {
-		n, err := r.Read(chunk[:cap(chunk)])
+		if len(body) == cap(body) {
+			body = slices.Grow(body, len(body))
+		}
+		n, err := r.Read(body[len(body):cap(body)])
 		if n > 0 {
 			progress(n)
 		}
-		if len(body)+n > limit {
+		body = body[:len(body)+n]
+		if len(body) > limit {
 			return nil, errTooLarge
 		}
-		body = append(body, chunk[:n]...)
 		if errors.Is(err, io.EOF) {
 			return body, nil
 		}
