io/peer: test the reset of connections to a killed process

Cause: a node that is killed and replaced at the same address must not make its peers wait for the idle timeout of 30 s. Change: a test closes the socket of a transport without notice and opens another one at its address. Its first form sent empty requests and failed: quic-go does not answer packets of up to 42 bytes with a reset. Requests between nodes are larger, so the test sends 200 bytes, and the comment on the key states the limit.

--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -252,7 +252,8 @@
 }
 
 // resetKey returns a key that stays the same when the process is replaced, so
-// that peers learn at once that connections to the earlier process are gone.
+// that peers learn with their next packet of more than 42 bytes that connections
+// to the earlier process are gone.
 func (t *Transport) resetKey() *quic.StatelessResetKey {
 	private, ok := t.Identity.Certificate.PrivateKey.(interface{ Seed() []byte })
 	if !ok {
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -364,6 +364,37 @@
 	is.Equal(next(Closed), first)
 }
 
+// TestRestartResetsConnections guards against calls that wait for the idle timeout
+// after the peer's process was killed and replaced at the same address.
+func TestRestartResetsConnections(t *testing.T) {
+	is := is.New(t)
+	directory := fleet(t)
+	serve := func(p *Transport) {
+		p.OnCall = func(_ context.Context, _ ident.NodeID, body []byte) []byte { return answerTo(body) }
+	}
+	killed := start(t, directory, "b", serve)
+	address := killed.Address()
+	client := start(t, directory, "a", nil)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := client.Call(ctx, "b", address, nil)
+	is.NoErr(err)
+	is.NoErr(killed.socket.Close()) // like a kill: the peer is told nothing
+	start(t, directory, "b", func(p *Transport) {
+		serve(p)
+		p.Listen = address
+	})
+	for {
+		// QUIC does not answer packets of up to 42 bytes with a reset; requests
+		// between nodes are larger.
+		_, err := client.Call(ctx, "b", address, make([]byte, 200))
+		if err == nil {
+			return
+		}
+		is.NoErr(ctx.Err()) // the old connection was not reset
+	}
+}
+
 // forwarder passes UDP packets between callers and one server. It can freeze the
 // flows that exist, while new ones work.
 type forwarder struct {
