--- a/io/bench/run.go
+++ b/io/bench/run.go
@@ -58,6 +58,9 @@
 	{"convergence", "time and bytes of a burst of releases by fleet size and RoundMillis", func(quick bool) (*Table, error) {
 		return ReleaseConvergence(size(quick, 1, SpreadBursts), size(quick, []int{10}, []int{50, 200, 790})...)
 	}},
+	{"traffic", "control bytes of real transports on loopback, all in one process", func(quick bool) (*Table, error) {
+		return ControlTraffic(size(quick, 3, TrafficNodes), size(quick, 300*time.Millisecond, TrafficLength))
+	}},
 	{"path", "delay that the whole path adds to a direct call, by rate", func(quick bool) (*Table, error) {
 		return PathDelay(size(quick, pathSlice, PathLength), size(quick, []int{100}, []int{370, 1000, 2000, 4000})...)
 	}},
--- a/io/bench/traffic.go
+++ b/io/bench/traffic.go
@@ -20,8 +20,14 @@
 	"hickoryrail/io/wire"
 )
 
-// trafficPatience bounds the wait until all members know each other.
-const trafficPatience = time.Minute
+const (
+	// TrafficNodes is the fleet size for figures that are published.
+	TrafficNodes = 16
+	// TrafficLength is the time of the measurement for figures that are published.
+	TrafficLength = 20 * time.Second
+	// trafficPatience bounds the wait until all members know each other.
+	trafficPatience = time.Minute
+)
 
 // trafficNode is a real table on a real transport.
 type trafficNode struct {
