--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -228,6 +228,9 @@
 		return err
 	}
 	release, err := plat.ReadRelease(ctx, r.store, order.HistoryOf(head))
+	if errors.Is(err, plat.ErrBadRelease) {
+		r.fleet.refused("", head.Version, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/io/plat/records.go
+++ b/io/plat/records.go
@@ -11,8 +11,13 @@
 	"hickoryrail/core/result"
 )
 
-// errMismatch reports an object that is not the one its row names.
-var errMismatch = errors.New("object is not the one that its row names")
+var (
+	// ErrBadRelease reports a stored release that is not whole and valid or not
+	// the one that its row names.
+	ErrBadRelease = errors.New("stored release is refused")
+	// errMismatch reports an object that is not the one its row names.
+	errMismatch = errors.New("object is not the one that its row names")
+)
 
 // ReadHead is a strong read of the row Head. Without any release it returns the
 // zero Head and revision 0.
@@ -80,7 +85,7 @@
 		err = errMismatch
 	}
 	if err != nil {
-		return model.Release{}, notRun("release is malformed", err)
+		return model.Release{}, notRun("release is malformed", errors.Join(ErrBadRelease, err))
 	}
 	r.EditID = h.EditID
 	return r, nil
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -171,6 +171,11 @@
 	in.view.Store(v)
 }
 
+// View returns the view that a new request uses; nil before the first one.
+func (in *Ingress) View() *view.View {
+	return in.view.Load()
+}
+
 // Run serves until ctx ends. It then accepts no more connections; those that are
 // open close after the request in flight. Drain goes before it for a stop that
 // interrupts no request.
