--- a/io/node/stalls.go
+++ b/io/node/stalls.go
@@ -19,6 +19,8 @@
 	stallTick = 20 * time.Millisecond
 	// maxEchoes bounds the concurrent echo requests.
 	maxEchoes = 64
+	// reasonSilent is the reason for the end of a connection.
+	reasonSilent = "connection without progress closed"
 )
 
 // stalls closes call connections that went silent with calls outstanding.
@@ -121,7 +123,7 @@
 	s.mu.Unlock()
 	s.log.Record(logs.Decision{
 		At: s.clock.Now(), Kind: logs.Member, Node: node,
-		Reason: "connection without progress closed",
+		Reason: reasonSilent,
 	})
 	s.transport.CloseConnection(id)
 }
