Let racing operators meet lost answers of Head writes

Change: a hook of the platform stand-in loses the answer of one of six writes of Head and another one without effect, and pauses writers between the reading and the write of Head. Conclusion: seen to fail on Head written on whatever revision it has, and on an own edit that is looked for neither in Head nor in its row (by its time limit). Not seen to fail: a conflict of the Head write taken as success, because conflicts are rare, and an own edit not looked for in Head alone, because its row tells the same; core/order has tests for both.

--- a/io/node/fixture_test.go
+++ b/io/node/fixture_test.go
@@ -41,6 +41,10 @@
 		platform  *stub.Server
 		directory string
 		seed      *slot
+		// headWrites counts the writes of Head; headFaults makes them conflict
+		// and lose answers.
+		headWrites atomic.Int64
+		headFaults atomic.Bool
 	}
 
 	// slot is a node under test with what it put in force, in order. Its fields
@@ -72,6 +76,7 @@
 func newRig(t *testing.T) *rig {
 	t.Parallel()
 	r := &rig{t: t, platform: &stub.Server{Listen: loopback}, directory: t.TempDir()}
+	r.platform.Before = r.disturbHead
 	_, err := keys.CreateFleet(r.directory, []ident.NodeID{"node-1", "node-2", "node-3", "node-4", "node-5"})
 	r.noError(err)
 	r.noError(r.platform.Open())
@@ -79,6 +84,26 @@
 	return r
 }
 
+// disturbHead lets writers of Head meet. Of six writes it loses the answer of one
+// and another one without effect.
+func (r *rig) disturbHead(method, name string) {
+	if !r.headFaults.Load() {
+		return
+	}
+	if method == "PutObject" {
+		time.Sleep(50 * time.Millisecond) // between the reading and the write of Head
+	}
+	if method != "WriteRow" || name != order.HeadKey {
+		return
+	}
+	switch r.headWrites.Add(1) % 6 {
+	case 0:
+		r.platform.LoseAnswers(1)
+	case 3:
+		r.platform.LoseRequests(1)
+	}
+}
+
 // noError ends the test on an error.
 func (r *rig) noError(err error) {
 	r.t.Helper()
