--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -86,16 +86,7 @@
 
 // run drives the timers until ctx ends.
 func (f *fleet) run(ctx context.Context) error {
-	ticker := time.NewTicker(fleetTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			f.tick()
-		}
-	}
+	return every(ctx, fleetTick, f.tick)
 }
 
 // tick does what is due.
--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -79,26 +79,12 @@
 	wg.Go(func() { r.findFloor(ctx) })
 	wg.Go(func() { r.fetchWanted(ctx) })
 	wg.Go(func() { r.acceptDue(ctx) })
-	wg.Go(func() { r.pollSource(ctx) })
+	wg.Go(func() { _ = every(ctx, readerTick, func() { r.tick(ctx) }) })
 	return r.keeper.Run(ctx)
 }
 
-// pollSource tells the lease of the fleet, and polls the source while this node
-// holds the lease.
-func (r *reader) pollSource(ctx context.Context) {
-	ticker := time.NewTicker(readerTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.tick(ctx)
-		}
-	}
-}
-
-// tick follows the pulse of the region's reader, and polls if it is due.
+// tick tells the lease of the fleet and of the pulse of the region's reader, and
+// polls if this node is the reader and a poll is due.
 func (r *reader) tick(ctx context.Context) {
 	now := r.clock.Now()
 	r.keeper.SetFleet(r.fleet.size(r.region))
--- a/io/node/stalls.go
+++ b/io/node/stalls.go
@@ -92,23 +92,16 @@
 
 // run checks the connections until ctx ends.
 func (s *stalls) run(ctx context.Context) error {
-	ticker := time.NewTicker(stallTick)
-	defer ticker.Stop()
 	echoes := pool.New().WithMaxGoroutines(maxEchoes)
 	defer echoes.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return every(ctx, stallTick, func() {
 		s.mu.Lock()
 		actions := s.watch.Tick(s.clock.Now())
 		s.mu.Unlock()
 		for _, a := range actions {
 			s.act(ctx, echoes, a)
 		}
-	}
+	})
 }
 
 // act carries out one action of the detector.
--- a/io/node/targets.go
+++ b/io/node/targets.go
@@ -110,16 +110,7 @@
 
 // run ends the service of a target that stopped renewing, until ctx ends.
 func (t *targets) run(ctx context.Context) error {
-	ticker := time.NewTicker(lapseTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			t.lapse()
-		}
-	}
+	return every(ctx, lapseTick, t.lapse)
 }
 
 // lapse removes the target if its renewal is overdue. A draining target may
--- a/io/node/unit.go
+++ b/io/node/unit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -53,3 +54,17 @@
 	}
 	return errors.Join(drained, u.failure)
 }
+
+// every calls do once per period until ctx ends, and returns its error.
+func every(ctx context.Context, period time.Duration, do func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			do()
+		}
+	}
+}
