--- a/io/node/reader.go
+++ b/io/node/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
