Share the layout of a fleet between the demo and the process trials

Cause: both wrote the same settings and named nodes and targets in the same way (three runs of shared lines). Change: demo.Layout holds the spread of nodes and targets and writes settings.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -14,6 +14,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/io/demo"
 	"hickoryrail/io/procs"
 )
 
@@ -93,11 +94,11 @@
 
 // newFleet returns a fleet in three failure domains with two services.
 func newFleet(binary string, nodes int) *procs.Fleet {
-	return &procs.Fleet{
-		Binary: binary, Nodes: nodes, Targets: nodes, DelayMillis: 2, RoundMillis: 100, Decisions: "problems",
+	return &procs.Fleet{Binary: binary, Targets: nodes, Layout: demo.Layout{
+		Nodes: nodes, DelayMillis: 2, RoundMillis: 100, Decisions: "problems",
 		Domains:  []ident.FailureDomain{"attica-a", "attica-b", "attica-c"},
 		Services: []ident.ServiceName{"orders", "catalogue"},
-	}
+	}}
 }
 
 // usage prints the trials.
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -51,11 +51,11 @@
 // Run runs the demonstration and writes its report to w. The error is not nil
 // unless every promise held. The log of the nodes goes to output.
 func Run(ctx context.Context, w, output io.Writer) error {
-	d := &run{w: w, ledger: &Ledger{}, fleet: &Fleet{
+	d := &run{w: w, ledger: &Ledger{}, fleet: &Fleet{Output: output, Layout: Layout{
 		Nodes: 6, Domains: []ident.FailureDomain{"attica-a", "attica-b", "attica-c"},
 		Services:    []ident.ServiceName{"orders", "catalogue"},
-		DelayMillis: 2, RoundMillis: 100, Output: output,
-	}}
+		DelayMillis: 2, RoundMillis: 100, Decisions: "all",
+	}}}
 	err := d.fleet.Start(ctx)
 	if err == nil {
 		err = d.steps(ctx)
@@ -104,7 +104,7 @@
 	}
 	time.Sleep(phase)
 	d.fleet.KillTarget(3)
-	d.printf("target %s stopped abruptly", d.fleet.targetID(3))
+	d.printf("target %s stopped abruptly", d.fleet.TargetID(3))
 	time.Sleep(2 * phase)
 	return nil
 }
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -11,8 +11,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"hickoryrail/core/clock"
-	"hickoryrail/core/ident"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/keys"
@@ -27,16 +25,7 @@
 type (
 	// Fleet is a platform stand-in with nodes and a target beside each node.
 	Fleet struct {
-		// Nodes is the number of nodes; even ones are beside targets of the
-		// first service, odd ones beside targets of the second.
-		Nodes int
-		// Domains and Services name the failure domains and services.
-		Domains  []ident.FailureDomain
-		Services []ident.ServiceName
-		// DelayMillis is how long each request takes at a target.
-		DelayMillis clock.Millis
-		// RoundMillis is the setting Spread.RoundMillis of each node.
-		RoundMillis clock.Millis
+		Layout
 		// Output takes the log lines of the nodes.
 		Output io.Writer
 
@@ -59,10 +48,7 @@
 		return eris.Wrap(err, "demo: key directory")
 	}
 	f.directory = directory
-	names := make([]ident.NodeID, f.Nodes)
-	for i := range names {
-		names[i] = ident.NodeID(fmt.Sprintf("node-%d", i+1))
-	}
+	names := f.NodeIDs()
 	if _, err := keys.CreateFleet(directory, names); err != nil {
 		return eris.Wrap(err, "demo: keys")
 	}
@@ -72,7 +58,7 @@
 	}
 	f.wg.Go(func() { _ = f.platform.Run(ctx) })
 	for i, name := range names {
-		if err := f.startNode(ctx, i, name); err != nil {
+		if err := f.startNode(ctx, i); err != nil {
 			return eris.Wrapf(err, "demo: %s", name)
 		}
 		if err := f.startTarget(ctx, i); err != nil {
@@ -83,8 +69,8 @@
 }
 
 // startNode starts one node with the earlier ones as seeds.
-func (f *Fleet) startNode(ctx context.Context, i int, name ident.NodeID) error {
-	settings, err := conf.Parse(f.settings(i, name))
+func (f *Fleet) startNode(ctx context.Context, i int) error {
+	settings, err := conf.Parse(f.Settings(i, f.place(i)))
 	if err != nil {
 		return err
 	}
@@ -99,47 +85,22 @@
 	return nil
 }
 
-// settings returns the settings file of one node.
-func (f *Fleet) settings(i int, name ident.NodeID) string {
-	seeds := ""
+// place returns where node i finds the rest of the fleet.
+func (f *Fleet) place(i int) Place {
+	p := Place{
+		Caller: loopback, Target: loopback, Admin: loopback, Operator: loopback, Peer: loopback,
+		Platform: f.platform.Address(), Keys: f.directory, HasTarget: true,
+	}
 	if i > 0 {
-		seeds = fmt.Sprintf("%q", fmt.Sprintf("%s@%s", f.nodes[0].ID(), f.nodes[0].PeerAddress()))
-	}
-	return fmt.Sprintf(`
-Node = %q
-FailureDomain = %q
-Region = "attica"
-Service = %q
-Target = %q
-CallerAddress = %q
-TargetAddress = %q
-AdminAddress = %q
-OperatorAddress = %q
-PeerAddress = %q
-PlatformURL = %q
-KeyDirectory = %q
-Seeds = [%s]
-[Spread]
-RoundMillis = %d
-`, name, f.Domains[i%len(f.Domains)], f.service(i), f.targetID(i),
-		loopback, loopback, loopback, loopback, loopback,
-		"http://"+f.platform.Address(), f.directory, seeds, int(f.RoundMillis))
-}
-
-// service returns the service of the target beside node i.
-func (f *Fleet) service(i int) ident.ServiceName {
-	return f.Services[i%len(f.Services)]
-}
-
-// targetID returns the id of the target beside node i.
-func (f *Fleet) targetID(i int) ident.TargetID {
-	return ident.TargetID(fmt.Sprintf("%s-%d", f.service(i), i/len(f.Services)+1))
+		p.Seeds = []string{fmt.Sprintf("%s@%s", f.nodes[0].ID(), f.nodes[0].PeerAddress())}
+	}
+	return p
 }
 
 // startTarget starts the target beside node i.
 func (f *Fleet) startTarget(ctx context.Context, i int) error {
 	t := &target.Server{
-		ID: f.targetID(i), Service: f.service(i), Listen: loopback,
+		ID: f.TargetID(i), Service: f.Service(i), Listen: loopback,
 		Node: f.nodes[i].TargetAddress(), DelayMillis: f.DelayMillis,
 	}
 	if err := t.Open(); err != nil {
--- a/io/procs/fleet.go
+++ b/io/procs/fleet.go
@@ -22,9 +22,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/io/admin"
+	"hickoryrail/io/demo"
 	"hickoryrail/io/keys"
 	"hickoryrail/io/stub"
 	"hickoryrail/io/target"
@@ -47,16 +47,10 @@
 	Fleet struct {
 		// Binary is the path of the hickoryrail program.
 		Binary string
-		// Nodes is the number of node processes, at most MaxNodes.
-		Nodes    int
-		Domains  []ident.FailureDomain
-		Services []ident.ServiceName
+		// Layout has at most MaxNodes nodes.
+		demo.Layout
 		// Targets is the number of nodes with a target, from the first on.
-		Targets     int
-		DelayMillis clock.Millis
-		RoundMillis clock.Millis
-		// Decisions is the setting Log.Decisions of the nodes.
-		Decisions string
+		Targets int
 
 		directory string
 		platform  *stub.Server
@@ -108,10 +102,7 @@
 		return err
 	}
 	f.wg.Go(func() { _ = f.platform.Run(ctx) })
-	names := make([]ident.NodeID, f.Nodes)
-	for i := range names {
-		names[i] = ident.NodeID(fmt.Sprintf("node-%d", i+1))
-	}
+	names := f.NodeIDs()
 	if _, err := keys.CreateFleet(filepath.Join(directory, "keys"), names); err != nil {
 		return err
 	}
@@ -143,35 +134,14 @@
 		}
 		*a = free
 	}
-	seeds := ""
-	if i > 0 {
-		seeds = fmt.Sprintf("%q, %q", seed(f.nodes[0]), seed(f.nodes[i/2]))
+	place := demo.Place{
+		Caller: p.caller, Target: p.target, Admin: p.admin, Operator: p.operator, Peer: p.peer,
+		Platform: f.platform.Address(), Keys: filepath.Join(f.directory, "keys"), HasTarget: i < f.Targets,
 	}
-	service, id := "", ""
-	if i < f.Targets {
-		service, id = string(f.service(i)), string(f.targetID(i))
+	if i > 0 {
+		place.Seeds = []string{seed(f.nodes[0]), seed(f.nodes[i/2])}
 	}
-	text := fmt.Sprintf(`
-Node = %q
-FailureDomain = %q
-Region = "attica"
-Service = %q
-Target = %q
-CallerAddress = %q
-TargetAddress = %q
-AdminAddress = %q
-OperatorAddress = %q
-PeerAddress = %q
-PlatformURL = %q
-KeyDirectory = %q
-Seeds = [%s]
-[Spread]
-RoundMillis = %d
-[Log]
-Decisions = %q
-`, name, f.Domains[i%len(f.Domains)], service, id, p.caller, p.target, p.admin, p.operator, p.peer,
-		"http://"+f.platform.Address(), filepath.Join(f.directory, "keys"), seeds, int(f.RoundMillis), f.Decisions)
-	err := os.WriteFile(p.config, []byte(text), 0o600)
+	err := os.WriteFile(p.config, []byte(f.Settings(i, place)), 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -218,20 +188,10 @@
 	return p.cmd.Start()
 }
 
-// service returns the service of the target beside node i.
-func (f *Fleet) service(i int) ident.ServiceName {
-	return f.Services[i%len(f.Services)]
-}
-
-// targetID returns the id of the target beside node i.
-func (f *Fleet) targetID(i int) ident.TargetID {
-	return ident.TargetID(fmt.Sprintf("%s-%d", f.service(i), i/len(f.Services)+1))
-}
-
 // startTarget starts the target beside node i.
 func (f *Fleet) startTarget(ctx context.Context, i int) error {
 	t := &target.Server{
-		ID: f.targetID(i), Service: f.service(i), Listen: "127.0.0.1:0",
+		ID: f.TargetID(i), Service: f.Service(i), Listen: "127.0.0.1:0",
 		Node: f.nodes[i].target, DelayMillis: f.DelayMillis,
 	}
 	if err := t.Open(); err != nil {
