Try a paused reader with separate processes

Cause: no trial paused the holder of the lease while only the source had a new release. Change: the trial reader pauses the holder with SIGSTOP, writes a release to the store alone, waits for it on the other nodes, and continues the holder.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -20,7 +20,7 @@
 
 // trials are the disturbances by name.
 var trials = map[string]func(*procs.Trial) error{
-	"kill": procs.Kill, "freeze": procs.Freeze, "terminate": procs.Terminate, "outage": procs.Outage,
+	"kill": procs.Kill, "freeze": procs.Freeze, "terminate": procs.Terminate, "outage": procs.Outage, "reader": procs.Reader,
 }
 
 func main() {
--- a/io/procs/cost.go
+++ b/io/procs/cost.go
@@ -179,10 +179,13 @@
 	return nil
 }
 
-// awaitVersion waits until every node has a version in force.
-func (f *Fleet) awaitVersion(v ident.Version) error {
+// awaitVersion waits until every node but those in without has a version in force.
+func (f *Fleet) awaitVersion(v ident.Version, without ...int) error {
 	deadline := time.Now().Add(readyTimeout)
 	for i := range f.nodes {
+		if slices.Contains(without, i) {
+			continue
+		}
 		for {
 			if s, err := f.Status(i); err == nil && s.Version >= v {
 				break
--- a/io/procs/trial.go
+++ b/io/procs/trial.go
@@ -13,8 +13,10 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
+	"hickoryrail/core/order"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/demo"
+	"hickoryrail/io/plat"
 )
 
 const (
@@ -242,3 +244,50 @@
 	}
 	return c
 }
+
+// Reader pauses the region's reader with SIGSTOP until another node has taken the
+// lease and brought a release that only the source had, and continues it.
+func Reader(t *Trial) error {
+	holder, err := t.Fleet.leaseHolder()
+	if err != nil {
+		return err
+	}
+	if err := t.Fleet.Signal(holder, syscall.SIGSTOP); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.W, "node-%d, the reader, paused\n", holder+1)
+	began := time.Now()
+	s := &plat.Submitter{Store: t.Fleet.platform, Clock: clock.NewSystem()}
+	out, err := s.Submit(context.Background(), order.Edit{
+		ID: "trial-reader", Base: 1, Operator: "trial",
+		Configuration: Configuration(t.Fleet.Domains, t.Fleet.Services, 2500),
+	})
+	if err != nil {
+		return err
+	}
+	if err := t.Fleet.awaitVersion(out.Version, holder); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.W, "version %d in force on the others %.1f s after the pause began\n", out.Version, time.Since(began).Seconds())
+	if err := t.Fleet.Signal(holder, syscall.SIGCONT); err != nil {
+		return err
+	}
+	if err := t.Fleet.awaitVersion(out.Version); err != nil {
+		return err
+	}
+	return t.Fleet.AwaitReady(readyTimeout, t.all(), t.Fleet.Nodes, t.Fleet.Targets)
+}
+
+// leaseHolder returns the node that holds the region's lease.
+func (f *Fleet) leaseHolder() (int, error) {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		for i, p := range f.nodes {
+			if s, err := f.Status(i); err == nil && s.Lease.Holder == p.name {
+				return i, nil
+			}
+		}
+		time.Sleep(pollPeriod)
+	}
+	return 0, errNotReady
+}
