Bound the request rate of each caller

TestHedgeAnswersFirst once failed because the hedge cancelled the held attempt before it had reached its target. The hedge test waits until the held attempt runs; its checks are the same. Conclusion: the limit that the settings promise is in force.

--- /dev/null
+++ b/core/limit/limiter_test.go
@@ -0,0 +1,58 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "7"); err != nil {
+		panic(err)
+	}
+}
+
+// TestRateIsBounded guards against a caller that gets more than a burst and its
+// rate, against one that pays for another, and against unbounded memory.
+func TestRateIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &Limiter{PerSecond: float64(rapid.IntRange(1, 50).Draw(t, "rate")), MaxCallers: 4}
+		allowed := make(map[ident.CallerID]int)
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now += clock.Millis(rapid.IntRange(-5, 100).Draw(t, "pause"))
+			caller := ident.CallerID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")))
+			if l.Allow(now, caller) {
+				allowed[caller]++
+			}
+		}
+		for caller, n := range allowed {
+			// The clock may have gone back by 5 ms at each of 300 calls.
+			bound := l.burst() + l.PerSecond*float64((now+1500)/clock.Second)
+			if float64(n) > bound {
+				t.Fatalf("caller %s got %d of %v", caller, n, bound)
+			}
+		}
+		if l.Callers() > 4 {
+			t.Fatalf("%d callers are remembered", l.Callers())
+		}
+	})
+}
+
+// TestIdleCallerIsForgotten guards against a table that new callers cannot enter.
+func TestIdleCallerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	l := &Limiter{PerSecond: 1, MaxCallers: 2}
+	is.True(l.Allow(0, "a"))
+	is.True(!l.Allow(0, "a"))
+	is.True(l.Allow(0, "b"))
+	is.True(l.Allow(0, "c"))
+	is.Equal(l.Callers(), 2)
+	is.True(!l.Allow(0, "c"))
+}
--- a/io/admin/client_test.go
+++ b/io/admin/client_test.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-f.entered; cancel() }()
 	_, err := c.Submit(ctx, Edit{EditID: "e1", Operator: "ann", Configuration: configuration()})
-	close(f.release) // an earlier release lets the answer overtake the cancellation
+	close(f.release)                            // an earlier release lets the answer overtake the cancellation
 	is.Equal(result.Of(err), result.MayHaveRun) // the control has the edit already
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/kernel"
 	"hickoryrail/core/lease"
+	"hickoryrail/core/limit"
 	"hickoryrail/core/member"
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
@@ -158,6 +159,9 @@
 		Policy: &retry.Policy{Budget: &retry.Budget{}, Rand: fork(random)},
 		Limits: limits, Log: n.decisions, Registry: n.registry,
 	}
+	if rate := s.Limits.CallerRequestsPerSecond; rate > 0 {
+		n.ingress.Limiter = &limit.Limiter{PerSecond: float64(rate)}
+	}
 }
 
 // onCall answers a call stream of another node.
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -17,6 +17,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/limit"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
 	"hickoryrail/core/retry"
@@ -56,6 +57,7 @@
 	reasonHeader    = "request header is too large"
 	reasonSlowBody  = "request did not arrive in time"
 	reasonKeyLength = "Idempotency-Key is not 1 to 255 bytes"
+	reasonRate      = "caller sends too many requests"
 	reasonNoStore   = "node has no store for idempotency keys"
 )
 
@@ -82,6 +84,9 @@
 		// Picker and Policy are required; the ingress serializes their calls.
 		Picker *route.Picker
 		Policy *retry.Policy
+		// Limiter bounds the rate of each caller, named by its IP address; nil sets
+		// no limit. The ingress serializes its calls.
+		Limiter *limit.Limiter
 		// Store holds idempotency keys. Without one, requests with a key are
 		// refused.
 		Store  plat.Store
@@ -247,6 +252,10 @@
 		in.reply(ctx, notRun(reasonDraining), now)
 		return
 	}
+	if !in.allowed(ctx, now) {
+		in.reply(ctx, notRun(reasonRate), now)
+		return
+	}
 	c, refusal := in.newCall(ctx, now)
 	if refusal != nil {
 		in.reply(ctx, refusal, now)
@@ -260,6 +269,17 @@
 	in.reply(ctx, in.keyed(c, string(ctx.Request.Header.Peek(headerCaller)), string(key)), now)
 }
 
+// allowed reports whether the caller is within its rate.
+func (in *Ingress) allowed(ctx *fasthttp.RequestCtx, now clock.Millis) bool {
+	if in.Limiter == nil {
+		return true
+	}
+	caller := ident.CallerID(ctx.RemoteIP().String())
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.Limiter.Allow(now, caller)
+}
+
 // newCall routes a request and copies it. It returns the refusal of a request
 // that cannot be routed.
 func (in *Ingress) newCall(ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -386,6 +386,10 @@
 		if calls.Add(1) == 1 {
 			body = bytes.Replace(body, []byte("/check/echo"), []byte("/check/hold"), 1)
 		}
+		// The hedge waits until the held attempt runs, which its answer cancels.
+		for calls.Load() > 1 && ctx.Err() == nil && targets[0].runsOf("hedged")+targets[1].runsOf("hedged") == 0 {
+			time.Sleep(time.Millisecond)
+		}
 		return g.OnCall(ctx, "ingress", body), nil
 	}
 	c, _ := f.view.Route("/check/echo")
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -21,6 +21,7 @@
 	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/limit"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
@@ -432,6 +433,17 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 431)
 	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	in.mu.Lock()
+	in.Limiter = &limit.Limiter{PerSecond: 1e-9}
+	in.Limiter.Allow(in.Clock.Now(), "127.0.0.1")
+	in.mu.Unlock()
+	resp, _, err = send(http.DefaultClient, in, "/order/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 429)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	in.mu.Lock()
+	in.Limiter.PerSecond = 1e9
+	in.mu.Unlock()
 	resp, _, err = send(http.DefaultClient, in, "/order/echo", "", headerTimeout, "-1")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 400)
--- a/io/proxy/status.go
+++ b/io/proxy/status.go
@@ -20,6 +20,7 @@
 	reasonBody:            fasthttp.StatusRequestEntityTooLarge,
 	reasonHeader:          fasthttp.StatusRequestHeaderFieldsTooLarge,
 	reasonSlowBody:        fasthttp.StatusRequestTimeout,
+	reasonRate:            fasthttp.StatusTooManyRequests,
 	admit.ReasonFull:      fasthttp.StatusTooManyRequests,
 	admit.ReasonDisplaced: fasthttp.StatusTooManyRequests,
 	admit.ReasonWait:      fasthttp.StatusTooManyRequests,
