Detect silent connections in 750 ms by default

Cause: the settings waited 1000 + 1000 ms, while core/stall has 250 + 500 ms for unset values; the two defaults disagreed. Change: the settings take the defaults of core/stall. Conclusion: shorter values would lose fewer calls, but close the connections of peers that are only paused; that has not been measured.

--- a/io/bench/stall.go
+++ b/io/bench/stall.go
@@ -49,7 +49,7 @@
 		"calls/s", "detection", "p50 ms to the first good call", "p99 ms", "calls lost per run")
 	for _, rate := range []float64{1, 10, 100} {
 		for _, w := range []*stall.Watch{
-			// The first watch has the defaults of the settings.
+			// The second watch has the defaults of the settings.
 			nil, {ProbeMillis: 1000, GiveUpMillis: 1000}, {ProbeMillis: 250, GiveUpMillis: 500}, {ProbeMillis: 100, GiveUpMillis: 200}, {ProbeMillis: 50, GiveUpMillis: 100},
 		} {
 			name := "idle timeout"
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/stall"
 	"hickoryrail/io/logs"
 )
 
@@ -105,9 +106,9 @@
 	number("Spread.PollMillis", 500, 10, 10_000, "Interval at which the region's reader polls the source.",
 		func(s *Settings) *clock.Millis { return &s.Spread.PollMillis }),
 
-	number("Stall.ProbeMillis", 1000, 10, 60_000, "Silence on a connection with calls after which an echo is sent.",
+	number("Stall.ProbeMillis", int64(stall.DefaultProbeMillis), 10, 60_000, "Silence on a connection with calls after which an echo is sent.",
 		func(s *Settings) *clock.Millis { return &s.Stall.ProbeMillis }),
-	number("Stall.GiveUpMillis", 1000, 10, 60_000, "Wait for the echo before the connection is closed.",
+	number("Stall.GiveUpMillis", int64(stall.DefaultGiveUpMillis), 10, 60_000, "Wait for the echo before the connection is closed.",
 		func(s *Settings) *clock.Millis { return &s.Stall.GiveUpMillis }),
 
 	number("Member.ProbeMillis", 1000, 10, 60_000, "Interval between probes of a neighbour.",
