Share the strict CBOR modes

Cause: core/model and io/wire built the same encoder and decoder. Change: core/codec builds both; limits differ by the caller. Conclusion: one place says what own formats refuse.

--- a/core/model/release.go
+++ b/core/model/release.go
@@ -6,8 +6,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"hickoryrail/core/codec"
 	"hickoryrail/core/ident"
 )
 
@@ -28,34 +27,11 @@
 	ErrDigest = errors.New("configuration does not match the release's digest")
 
 	// encoder writes one byte string for equal values.
-	encoder = mustEncoder()
+	encoder = codec.NewEncoder()
 	// decoder refuses unknown fields, duplicate keys and trailing bytes.
-	decoder = mustDecoder()
+	decoder = codec.NewDecoder(codec.Limits{})
 )
 
-// mustEncoder returns the canonical CBOR mode.
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecoder returns the strict CBOR mode.
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // NewRelease returns the release of a configuration, or its Faults.
 func NewRelease(v ident.Version, edit ident.EditID, c Configuration) (Release, error) {
 	if err := c.Validate(); err != nil {
--- a/io/wire/codec.go
+++ b/io/wire/codec.go
@@ -4,7 +4,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"hickoryrail/core/codec"
 )
 
 const (
@@ -16,37 +16,11 @@
 
 var (
 	// encoder writes one byte string for equal messages.
-	encoder = mustEncoder()
+	encoder = codec.NewEncoder()
 	// decoder refuses unknown fields, duplicate keys, tags and trailing bytes.
-	decoder = mustDecoder()
+	decoder = codec.NewDecoder(codec.Limits{Elements: maxElements, Depth: maxDepth})
 )
 
-// mustEncoder returns the encoding mode.
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecoder returns the strict decoding mode.
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		MaxNestedLevels:   maxDepth,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the message in CBOR. It returns an error for a type that has no
 // encoding.
 func Encode[T any](m T) ([]byte, error) {
