core/admit: keep a share of the starts for actions

Cause: under an overload of checks, orders and bookings were answered in 1.5 of 100 cases, although the checks are made for them. Change: while an action waits, at least each fourth start is an action; the expected wait counts the share.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -25,6 +25,8 @@
 	ReasonQueued = "next in queue"
 	// ReasonAged is a start ahead of a class that goes first.
 	ReasonAged = "class reached its ageing bound"
+	// ReasonShare is the start of an action whose share is owed.
+	ReasonShare = "share of actions is owed"
 	// ReasonDraining is a refusal during a drain.
 	ReasonDraining = "target is draining"
 	// ReasonFull is a refusal by a full queue.
@@ -96,6 +98,9 @@
 		// AgeingMillis bounds the time for which a class with waiting calls is
 		// passed over by classes that go first.
 		AgeingMillis clock.Millis
+		// ActionEvery keeps a share for actions: while one waits, at least each
+		// ActionEvery-th start is an action. 0 keeps none.
+		ActionEvery int
 		// RunMillis is the expected run time of a class without a finished call.
 		RunMillis clock.Millis
 		// OccupiedMillis bounds how long an announced slot counts as occupied.
@@ -107,6 +112,8 @@
 		queues [classes][]waiting
 		// served is when each class last started a call or began to wait.
 		served [classes]clock.Millis
+		// others counts the starts of other classes since the last action.
+		others int
 		// run is the moving average of each class's run time; 0 before the first.
 		run [classes]clock.Millis
 		// actions is the memory of the returned slices.
@@ -295,10 +302,13 @@
 	return actions
 }
 
-// next returns the class and the place of the call to start: the longest
-// waiting call of a class that reached the ageing bound, else the earliest
-// deadline of the first class. At least one call waits.
+// next returns the class and the place of the call to start: an action if its
+// share is owed, else the longest waiting call of a class that reached the ageing
+// bound, else the earliest deadline of the first class. At least one call waits.
 func (g *Gate) next(now clock.Millis) (class, at int, reason string) {
+	if g.ActionEvery > 0 && g.others >= g.ActionEvery-1 && len(g.queues[model.Action]) > 0 {
+		return int(model.Action), 0, ReasonShare
+	}
 	first, aged := -1, -1
 	for class, q := range g.queues {
 		if len(q) == 0 {
@@ -364,6 +374,10 @@
 	}
 	g.running[c.ID] = c.Class
 	g.served[c.Class] = now
+	g.others++
+	if c.Class == model.Action {
+		g.others = 0
+	}
 }
 
 // wait returns how long c would wait: the calls ahead of it and the running
@@ -378,18 +392,34 @@
 	for _, class := range g.running {
 		work += g.expected(class) / clock.Millis(len(g.running))
 	}
-	for class := range int(c.Class) {
-		work += clock.Millis(len(g.queues[class])) * g.expected(model.Class(class))
+	own := 0
+	for own < len(g.queues[c.Class]) && g.queues[c.Class][own].Deadline <= c.Deadline {
+		own++
 	}
-	for _, w := range g.queues[c.Class] {
-		if w.Deadline > c.Deadline {
-			break
-		}
-		work += g.expected(c.Class)
+	work += clock.Millis(own) * g.expected(c.Class)
+	for class := range model.Class(classes) {
+		work += clock.Millis(g.ahead(class, c.Class, own)) * g.expected(class)
 	}
 	return work / clock.Millis(limit)
 }
 
+// ahead returns how many waiting calls of class start before a new call of another
+// class that has own calls of its class before it.
+func (g *Gate) ahead(class, of model.Class, own int) int {
+	queued := len(g.queues[class])
+	switch {
+	case class == of:
+		return 0
+	case g.ActionEvery > 1 && of == model.Action && class < of:
+		return min(queued, (own+1)*(g.ActionEvery-1))
+	case g.ActionEvery > 1 && of < model.Action && class == model.Action:
+		return min(queued, own/(g.ActionEvery-1)+1)
+	case class < of:
+		return queued
+	}
+	return 0
+}
+
 // expected returns the expected run time of a class.
 func (g *Gate) expected(class model.Class) clock.Millis {
 	if g.run[class] > 0 {
--- a/io/bench/admit.go
+++ b/io/bench/admit.go
@@ -92,7 +92,7 @@
 		"admission", "class", "deadline ms", "offered", "answered in time", "in time %", "late", "refused", "p50 ms", "p99 ms", "recovery ms")
 	load := offer(length)
 	gate := &admit.Gate{
-		Slots: admitSlots, Connections: 130, QueueLength: proxy.DefaultQueueLength, AgeingMillis: 100, RunMillis: admitRun,
+		Slots: admitSlots, Connections: 130, QueueLength: proxy.DefaultQueueLength, AgeingMillis: 100, ActionEvery: proxy.ActionEvery, RunMillis: admitRun,
 		OccupiedMillis: clock.Minute,
 	}
 	t.addAdmission("fifo", &fifo{}, length, load)
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -22,6 +22,9 @@
 	DefaultQueueLength = 16
 	// DefaultAgeingMillis is the ageing bound of the queue.
 	DefaultAgeingMillis = 100 * clock.Millis(1)
+	// ActionEvery is the gate's share for actions: an overload of checks must not
+	// keep out the orders and bookings that the checks are for.
+	ActionEvery = 4
 	// DefaultRunMillis is the expected run time before the first measured one.
 	DefaultRunMillis = 10 * clock.Millis(1)
 	// DefaultOccupiedMillis bounds how long an announced slot is occupied; no
@@ -133,7 +136,7 @@
 	orDefault(&g.RunMillis, DefaultRunMillis)
 	orDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
 	g.gate = admit.Gate{
-		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis,
+		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis, ActionEvery: ActionEvery,
 		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
 	}
 	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords}
