cmd/fleet: choose the node that is disturbed

Cause: the trials always disturbed the last node, which is beside a target of idempotent requests, so that they said little about actions.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -34,6 +34,7 @@
 func run() error {
 	binary := flag.String("binary", "./hickoryrail", "hickoryrail `program`")
 	nodes := flag.Int("nodes", 6, "number of node processes")
+	victim := flag.Int("victim", 0, "number of the node that is disturbed, from 1; 0 is the last. Odd nodes are beside targets with actions")
 	sizes := flag.String("sizes", "10,20,40,80,160", "fleet sizes of the cost measurement")
 	round := flag.Int("round", 100, "setting Spread.RoundMillis of the cost measurement")
 	settle := flag.Duration("settle", 40*time.Second, "time before the cost measurement, in which the starts are gossiped")
@@ -53,7 +54,7 @@
 			return fmt.Errorf("no trial %q", name)
 		}
 		fmt.Printf("== %s\n", name)
-		t := &procs.Trial{W: os.Stdout, Without: []int{*nodes - 1}, Disturb: disturb, Fleet: newFleet(*binary, *nodes)}
+		t := &procs.Trial{W: os.Stdout, Without: []int{(*victim + *nodes - 1) % *nodes}, Disturb: disturb, Fleet: newFleet(*binary, *nodes)}
 		if err := t.Run(context.Background()); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
