Serve callers with a connection loop that reads ahead, and grow routes by host, split and goal

Cause: fasthttp's server answers one request of a connection after the other and does not see that a caller has left; routes knew no host, no shares and no response-time goal; nodes had QUIC only. Change: io/httpd reads ahead, answers in order and ends a request's context with its connection; model, view and diff carry the new fields; core/route.Split keeps exact shares; io/frame carries calls and control messages over one TCP connection a pair of nodes; io/proxy.Dialect holds the names that callers and targets speak.

--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,10 +15,13 @@
 const (
 	// existence is the field that marks an element itself as present.
 	existence = "Name"
-	// domainKind, serviceKind and routeKind start the names of fields.
+	// domainKind to callersKind start the names of fields.
 	domainKind  = "FailureDomain"
 	serviceKind = "Service"
 	routeKind   = "Route"
+	callersKind = "Callers"
+	// callersName is the name of the one element of its kind.
+	callersName = "limits"
 )
 
 type (
@@ -125,10 +129,14 @@
 		f.put(serviceKind, string(s.Name), existence, string(s.Name))
 		f.put(serviceKind, string(s.Name), "Slots", strconv.Itoa(int(s.Slots)))
 		f.put(serviceKind, string(s.Name), "Connections", strconv.Itoa(int(s.Connections)))
+		if s.TargetSlots {
+			f.put(serviceKind, string(s.Name), "TargetSlots", strconv.FormatBool(true))
+		}
 	}
 	for _, r := range c.Rules.Routes {
 		f.route(r)
 	}
+	f.callers(c.Rules.Callers)
 	return f
 }
 
@@ -148,6 +156,27 @@
 	f.put(routeKind, name, "TimeoutMillis", formatMillis(r.TimeoutMillis))
 	f.put(routeKind, name, "MaxAttempts", strconv.Itoa(r.MaxAttempts))
 	f.put(routeKind, name, "HedgeAfterMillis", formatMillis(r.HedgeAfterMillis))
+	if r.Host != "" {
+		f.put(routeKind, name, "Host", r.Host)
+	}
+	if len(r.Parts) > 0 {
+		f.put(routeKind, name, "Parts", formatParts(r.Parts))
+	}
+	if r.GoalMillis != 0 {
+		f.put(routeKind, name, "GoalMillis", formatMillis(r.GoalMillis))
+	}
+}
+
+// callers sets the fields of the bounds for callers, if there are any.
+func (f fields) callers(l CallerLimits) {
+	if l == (CallerLimits{}) {
+		return
+	}
+	f.put(callersKind, callersName, existence, callersName)
+	f.put(callersKind, callersName, "HeaderBytes", strconv.FormatInt(int64(l.HeaderBytes), 10))
+	f.put(callersKind, callersName, "BodyBytes", strconv.FormatInt(int64(l.BodyBytes), 10))
+	f.put(callersKind, callersName, "HeaderMillis", formatMillis(l.HeaderMillis))
+	f.put(callersKind, callersName, "IdleMillis", formatMillis(l.IdleMillis))
 }
 
 // configuration rebuilds a configuration from its fields.
@@ -168,6 +197,8 @@
 			err = f.appendService(&c, element, name)
 		case strings.HasPrefix(element, routeKind+"/"):
 			err = f.appendRoute(&c, element, name)
+		case element == callersKind+"/"+callersName:
+			c.Rules.Callers, err = f.callerLimits(element)
 		}
 		if err != nil {
 			return Configuration{}, fmt.Errorf("%s: %w", element, err)
@@ -188,21 +219,43 @@
 	}
 	c.Inventory.Services = append(c.Inventory.Services, Service{
 		Name: ident.ServiceName(name), Slots: ident.Slots(slots), Connections: ident.Connections(connections),
+		TargetSlots: f[element+"/TargetSlots"] == "true",
 	})
 	return nil
 }
 
+// callerLimits rebuilds the bounds for callers.
+func (f fields) callerLimits(element string) (CallerLimits, error) {
+	var l CallerLimits
+	var failures [4]error
+	l.HeaderBytes, failures[0] = parseBytes(f[element+"/HeaderBytes"])
+	l.BodyBytes, failures[1] = parseBytes(f[element+"/BodyBytes"])
+	l.HeaderMillis, failures[2] = parseMillis(f[element+"/HeaderMillis"])
+	l.IdleMillis, failures[3] = parseMillis(f[element+"/IdleMillis"])
+	return l, errors.Join(failures[:]...)
+}
+
 // appendRoute rebuilds one route.
 func (f fields) appendRoute(c *Configuration, element, name string) error {
 	class, ok := ParseClass(f[element+"/Class"])
 	if !ok {
 		return fmt.Errorf("unknown class %q", f[element+"/Class"])
 	}
-	timeout, err := strconv.ParseFloat(f[element+"/TimeoutMillis"], 64)
+	timeout, err := parseMillis(f[element+"/TimeoutMillis"])
 	if err != nil {
 		return err
 	}
-	hedge, err := strconv.ParseFloat(f[element+"/HedgeAfterMillis"], 64)
+	hedge, err := parseMillis(f[element+"/HedgeAfterMillis"])
+	if err != nil {
+		return err
+	}
+	var goal clock.Millis
+	if text := f[element+"/GoalMillis"]; text != "" {
+		if goal, err = parseMillis(text); err != nil {
+			return err
+		}
+	}
+	parts, err := parseParts(f[element+"/Parts"])
 	if err != nil {
 		return err
 	}
@@ -213,8 +266,9 @@
 	c.Rules.Routes = append(c.Rules.Routes, Route{
 		Name: ident.RouteName(name), PathPrefix: f[element+"/PathPrefix"],
 		Service: ident.ServiceName(f[element+"/Service"]), Class: class,
-		Idempotent: f[element+"/Idempotent"] == "true", TimeoutMillis: clock.Millis(timeout),
-		MaxAttempts: attempts, HedgeAfterMillis: clock.Millis(hedge),
+		Idempotent: f[element+"/Idempotent"] == "true", TimeoutMillis: timeout,
+		MaxAttempts: attempts, HedgeAfterMillis: hedge,
+		Host: f[element+"/Host"], Parts: parts, GoalMillis: goal,
 	})
 	return nil
 }
@@ -223,3 +277,41 @@
 func formatMillis(m clock.Millis) string {
 	return strconv.FormatFloat(float64(m), 'f', -1, 64)
 }
+
+// parseMillis returns the time that formatMillis wrote.
+func parseMillis(text string) (clock.Millis, error) {
+	m, err := strconv.ParseFloat(text, 64)
+	return clock.Millis(m), err
+}
+
+// parseBytes returns a number of bytes.
+func parseBytes(text string) (ident.Bytes, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	return ident.Bytes(n), err
+}
+
+// formatParts returns the parts in text form, such as a=90,b=10.
+func formatParts(parts []Part) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = string(p.Service) + "=" + strconv.Itoa(p.Weight)
+	}
+	return strings.Join(texts, ",")
+}
+
+// parseParts returns the parts that formatParts wrote; none for empty text.
+func parseParts(text string) ([]Part, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var parts []Part
+	for _, item := range strings.Split(text, ",") {
+		name, weight, _ := strings.Cut(item, "=")
+		n, err := strconv.Atoi(weight)
+		if err != nil {
+			return nil, fmt.Errorf("weight of part %q: %w", name, err)
+		}
+		parts = append(parts, Part{Service: ident.ServiceName(name), Weight: n})
+	}
+	return parts, nil
+}
--- a/core/model/inventory.go
+++ b/core/model/inventory.go
@@ -40,6 +40,17 @@
 		// Connections is the number of connections that each target accepts; at
 		// least Slots.
 		Connections ident.Connections
+		// TargetSlots says that each target announces its own slots; Slots is then
+		// 0.
+		TargetSlots bool `cbor:",omitempty"`
+	}
+
+	// Part is one service of a split route with its share of the requests.
+	Part struct {
+		// Service is in the inventory of the same configuration.
+		Service ident.ServiceName
+		// Weight is at least 0; the weights of a split are not all 0.
+		Weight int
 	}
 
 	// Inventory lists what exists. Order carries no meaning.
@@ -52,11 +63,17 @@
 	Route struct {
 		// Name is unique in the rules and not empty.
 		Name ident.RouteName
-		// PathPrefix starts with a slash and is unique in the rules; the longest
-		// matching prefix wins.
+		// Host is the host that the route belongs to; routes without one serve the
+		// requests for hosts that no route names.
+		Host string `cbor:",omitempty"`
+		// PathPrefix starts with a slash and is unique among the routes of its
+		// host; the longest matching prefix wins.
 		PathPrefix string
-		// Service is in the inventory of the same configuration.
+		// Service is in the inventory of the same configuration. It is empty
+		// exactly when there are Parts.
 		Service ident.ServiceName
+		// Parts split the route's requests among services by weight.
+		Parts []Part `cbor:",omitempty"`
 		// Class orders the requests at the admission gate.
 		Class Class
 		// Idempotent allows a request to be retried after it may have run.
@@ -68,11 +85,27 @@
 		// HedgeAfterMillis is the delay before a second attempt of an idempotent
 		// check: 0 derives it from the observed delays, below 0 turns it off.
 		HedgeAfterMillis clock.Millis
+		// GoalMillis is the response time that callers hope for; 0 if none is
+		// stated.
+		GoalMillis clock.Millis `cbor:",omitempty"`
+	}
+
+	// CallerLimits bounds what a caller may send and how long it may take. A zero
+	// field leaves the bound to the node's settings.
+	CallerLimits struct {
+		HeaderBytes ident.Bytes
+		BodyBytes   ident.Bytes
+		// HeaderMillis bounds the arrival of a request's header.
+		HeaderMillis clock.Millis
+		// IdleMillis is how long a connection may stay open without a request.
+		IdleMillis clock.Millis
 	}
 
 	// Rules are the operators' additions to the inventory.
 	Rules struct {
 		Routes []Route
+		// Callers holds for all routes.
+		Callers CallerLimits `cbor:",omitzero"`
 	}
 
 	// Configuration is one inventory with its rules. It is a value: nothing
@@ -83,6 +116,18 @@
 	}
 )
 
+// Services returns the services that the route leads to.
+func (r *Route) Services() []ident.ServiceName {
+	if len(r.Parts) == 0 {
+		return []ident.ServiceName{r.Service}
+	}
+	out := make([]ident.ServiceName, len(r.Parts))
+	for i, p := range r.Parts {
+		out[i] = p.Service
+	}
+	return out
+}
+
 // classNames holds the text form of each class.
 var classNames = [...]string{"Check", "Action", "Browse"}
 
--- a/core/model/release.go
+++ b/core/model/release.go
@@ -61,7 +61,7 @@
 	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return Configuration{
 		Inventory: Inventory{FailureDomains: domains, Services: services},
-		Rules:     Rules{Routes: routes},
+		Rules:     Rules{Routes: routes, Callers: c.Rules.Callers},
 	}
 }
 
--- a/core/model/validate.go
+++ b/core/model/validate.go
@@ -18,6 +18,10 @@
 	maxSlots = 100_000
 	// maxNameBytes bounds a name.
 	maxNameBytes = 64
+	// maxHostBytes bounds a host name (RFC 1035, 2.3.4).
+	maxHostBytes = 253
+	// maxWeight bounds the weight of a part.
+	maxWeight = 1_000_000
 )
 
 type (
@@ -60,6 +64,7 @@
 	k.domains(c.Inventory.FailureDomains)
 	services := k.services(c.Inventory.Services)
 	k.routes(c.Rules.Routes, services)
+	k.limits(c.Rules.Callers)
 	if len(k.faults) > 0 {
 		return k.faults
 	}
@@ -97,7 +102,11 @@
 		field := "Service/" + string(s.Name)
 		k.name(seen, field+"/Name", string(s.Name))
 		names.Add(s.Name)
-		k.require(s.Slots >= 1 && s.Slots <= maxSlots, field+"/Slots", strconv.Itoa(int(s.Slots)), "1 to 100000")
+		if s.TargetSlots {
+			k.require(s.Slots == 0, field+"/Slots", strconv.Itoa(int(s.Slots)), "0, because the targets announce their slots")
+		} else {
+			k.require(s.Slots >= 1 && s.Slots <= maxSlots, field+"/Slots", strconv.Itoa(int(s.Slots)), "1 to 100000")
+		}
 		k.require(int(s.Connections) >= int(s.Slots) && s.Connections <= maxSlots,
 			field+"/Connections", strconv.Itoa(int(s.Connections)), "at least Slots, at most 100000")
 	}
@@ -111,8 +120,9 @@
 		field := "Route/" + string(r.Name)
 		k.name(names, field+"/Name", string(r.Name))
 		k.require(strings.HasPrefix(r.PathPrefix, "/"), field+"/PathPrefix", r.PathPrefix, "a path that starts with '/'")
-		k.require(prefixes.Add(r.PathPrefix), field+"/PathPrefix", r.PathPrefix, "a prefix that no other route has")
-		k.require(services.Has(r.Service), field+"/Service", string(r.Service), "a service of the inventory")
+		k.require(prefixes.Add(r.Host+" "+r.PathPrefix), field+"/PathPrefix", r.PathPrefix, "a prefix that no other route has")
+		k.require(r.Host == "" || validHost(r.Host), field+"/Host", r.Host, "a host name in lower case without a port")
+		k.destinations(r, field, services)
 		k.require(int(r.Class) < len(classNames), field+"/Class", r.Class.String(), strings.Join(classNames[:], ", "))
 		k.require(r.TimeoutMillis > 0 && r.TimeoutMillis <= MaxTimeoutMillis,
 			field+"/TimeoutMillis", r.TimeoutMillis.String(), "above 0, at most 120000")
@@ -120,7 +130,40 @@
 			field+"/MaxAttempts", strconv.Itoa(r.MaxAttempts), "1 to 5")
 		k.require(r.HedgeAfterMillis >= -1 && r.HedgeAfterMillis <= MaxTimeoutMillis,
 			field+"/HedgeAfterMillis", r.HedgeAfterMillis.String(), "-1 to 120000")
+		k.require(r.GoalMillis >= 0 && r.GoalMillis <= MaxTimeoutMillis, field+"/GoalMillis", r.GoalMillis.String(), "0 to 120000")
+	}
+}
+
+// destinations checks the service or the parts of a route.
+func (k *checker) destinations(r Route, field string, services sets.Set[ident.ServiceName]) {
+	if len(r.Parts) == 0 {
+		k.require(services.Has(r.Service), field+"/Service", string(r.Service), "a service of the inventory")
+		return
+	}
+	k.require(r.Service == "", field+"/Service", string(r.Service), "no service beside parts")
+	total, seen := 0, sets.Of[ident.ServiceName]()
+	for _, p := range r.Parts {
+		k.require(services.Has(p.Service) && seen.Add(p.Service), field+"/Parts", string(p.Service), "a service of the inventory, once")
+		k.require(p.Weight >= 0 && p.Weight <= maxWeight, field+"/Parts", strconv.Itoa(p.Weight), "a weight from 0 to 1000000")
+		total += max(p.Weight, 0)
+	}
+	k.require(total > 0, field+"/Parts", "0", "a weight above 0")
+}
+
+// limits checks the bounds for callers.
+func (k *checker) limits(l CallerLimits) {
+	ok := l.HeaderBytes >= 0 && l.BodyBytes >= 0 && l.HeaderMillis >= 0 && l.IdleMillis >= 0
+	k.require(ok, "Callers/"+callersName, "negative", "values from 0")
+}
+
+// validHost reports whether host is a host name in lower case.
+func validHost(host string) bool {
+	for _, label := range strings.Split(host, ".") {
+		if !validName(label) || label != strings.ToLower(label) {
+			return false
+		}
 	}
+	return len(host) <= maxHostBytes
 }
 
 // validName reports whether name has an allowed form.
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -28,8 +28,9 @@
 	// targets, which may be empty.
 	View struct {
 		release model.Release
-		// routes are in order of falling prefix length.
-		routes  []model.Route
+		// routes maps each host to its routes in order of falling prefix length;
+		// the empty host has those without a host.
+		routes  map[string][]model.Route
 		targets map[ident.ServiceName][]Target
 	}
 )
@@ -49,10 +50,15 @@
 	for _, list := range v.targets {
 		slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	v.routes = slices.Clone(r.Configuration.Rules.Routes)
-	slices.SortFunc(v.routes, func(a, b model.Route) int {
-		return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.PathPrefix, b.PathPrefix))
-	})
+	v.routes = make(map[string][]model.Route)
+	for _, route := range r.Configuration.Rules.Routes {
+		v.routes[route.Host] = append(v.routes[route.Host], route)
+	}
+	for _, list := range v.routes {
+		slices.SortFunc(list, func(a, b model.Route) int {
+			return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.PathPrefix, b.PathPrefix))
+		})
+	}
 	return v
 }
 
@@ -74,10 +80,18 @@
 	return v.release
 }
 
-// Route returns the route with the longest prefix of path. A prefix matches
-// whole path segments only.
-func (v *View) Route(path string) (model.Route, bool) {
-	for _, r := range v.routes {
+// Route returns the route of host, which may have a port, with the longest prefix
+// of path. A prefix matches whole path segments only. A host without routes of its
+// own has those without a host.
+func (v *View) Route(host, path string) (model.Route, bool) {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	list, ok := v.routes[strings.ToLower(host)]
+	if !ok {
+		list = v.routes[""]
+	}
+	for _, r := range list {
 		if matches(r.PathPrefix, path) {
 			return r, true
 		}
--- a/core/view/view_test.go
+++ b/core/view/view_test.go
@@ -107,7 +107,7 @@
 				want = r
 			}
 		}
-		got, ok := v.Route(path)
+		got, ok := v.Route("", path)
 		if ok != (want.Name != "") || got.Name != want.Name {
 			t.Fatalf("path %s takes route %q, want %q", path, got.Name, want.Name)
 		}
--- /dev/null
+++ b/io/frame/transport.go
@@ -0,0 +1,193 @@
+package frame
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/io/peer"
+)
+
+const (
+	// dialMillis bounds the set-up of a connection. A node that has no power does
+	// not answer, and callers have other targets to try.
+	dialMillis = 400 * clock.Millis(1)
+	// writeMillis bounds the writing of one frame to a peer that does not read.
+	writeMillis = 2 * clock.Second
+	// redialMillis is the pause after a failed dial, during which calls fail at
+	// once.
+	redialMillis = 200 * clock.Millis(1)
+	// drainPoll is the interval at which Drain looks for work in flight.
+	drainPoll = 5 * time.Millisecond
+	// maxQueued bounds the control messages that wait for one node.
+	maxQueued = 64
+)
+
+// Reasons of calls without an answer.
+const (
+	reasonDial     = "no connection to the node"
+	reasonDraining = "transport is draining"
+	reasonWrite    = "request was not sent whole"
+	reasonLost     = "connection to the node was lost"
+	reasonRefused  = "node refused the call"
+	reasonFailed   = "node's handler failed"
+	reasonGaveUp   = "caller gave up"
+	reasonDeadline = "deadline passed"
+	reasonTooLarge = "request exceeds the limit"
+)
+
+type (
+	// Transport connects a node with its peers. Set the exported fields before
+	// Open.
+	Transport struct {
+		Self ident.NodeID
+		// Listen is host:port; port 0 chooses a free one.
+		Listen string
+		// OnControl takes a control message; it owns body.
+		OnControl func(from ident.NodeID, body []byte)
+		// OnCall returns the answer to a request; it owns body. Its ctx ends when
+		// the caller gives up or the connection is lost.
+		OnCall func(ctx context.Context, from ident.NodeID, body []byte) []byte
+		// OnEvent takes the events of dialed connections; it may be nil and must
+		// not block.
+		OnEvent func(peer.Event)
+		// Registry takes the metrics; nil keeps them private.
+		Registry prometheus.Registerer
+		// BodyBytes bounds a request, an answer and a control message.
+		BodyBytes int
+
+		listener net.Listener
+		metrics  metrics
+		life     context.Context
+		end      context.CancelFunc
+		group    conc.WaitGroup
+
+		// mu guards what follows.
+		mu sync.Mutex
+		// draining is set once; no call of a peer is started afterwards.
+		draining bool
+		closed   bool
+		// running counts the calls of peers whose answer is not written.
+		running int
+		nextID  peer.ConnectionID
+		links   map[ident.NodeID]*link
+		// dialed and accepted hold the open connections.
+		dialed   map[peer.ConnectionID]*connection
+		accepted map[*served]struct{}
+	}
+)
+
+// errClosed reports a transport that was closed.
+var errClosed = errors.New("transport is closed")
+
+// Open binds the listener. Calls and control messages can be sent afterwards.
+func (t *Transport) Open() error {
+	t.links = make(map[ident.NodeID]*link)
+	t.dialed = make(map[peer.ConnectionID]*connection)
+	t.accepted = make(map[*served]struct{})
+	if t.BodyBytes == 0 {
+		t.BodyBytes = peer.DefaultLimits().BodyBytes
+	}
+	if err := t.metrics.open(t.Registry); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return err
+	}
+	t.listener = l
+	t.life, t.end = context.WithCancel(context.Background())
+	return nil
+}
+
+// Address returns the bound host:port. It is valid after Open.
+func (t *Transport) Address() string {
+	return t.listener.Addr().String()
+}
+
+// ControlTraffic returns the bytes of control frames so far.
+func (t *Transport) ControlTraffic() peer.Traffic {
+	return peer.Traffic{
+		Sent:     ident.Bytes(t.metrics.controlSent.Load()),
+		Received: ident.Bytes(t.metrics.controlReceived.Load()),
+	}
+}
+
+// Run serves peers until ctx ends, then closes every connection. Call Drain first
+// to let the calls in flight finish.
+func (t *Transport) Run(ctx context.Context) error {
+	t.group.Go(t.accept)
+	<-ctx.Done()
+	t.mu.Lock()
+	t.draining, t.closed = true, true
+	var open []*connection
+	for _, c := range t.dialed {
+		open = append(open, c)
+	}
+	var accepted []*served
+	for s := range t.accepted {
+		accepted = append(accepted, s)
+	}
+	t.mu.Unlock()
+	err := t.listener.Close()
+	for _, c := range open {
+		c.fail(errClosed)
+	}
+	for _, s := range accepted {
+		_ = s.conn.Close()
+	}
+	t.end()
+	t.group.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain refuses new calls of peers as not run and returns once the running ones
+// are answered, or with the error of ctx.
+func (t *Transport) Drain(ctx context.Context) error {
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		t.mu.Lock()
+		running := t.running
+		t.mu.Unlock()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// CloseConnection closes a dialed connection at once. Its calls end as they may
+// have run; new calls use another connection.
+func (t *Transport) CloseConnection(id peer.ConnectionID) {
+	t.mu.Lock()
+	c := t.dialed[id]
+	t.mu.Unlock()
+	if c != nil {
+		c.fail(errSilent)
+	}
+}
+
+// emit passes an event to the stall detector.
+func (t *Transport) emit(kind peer.EventKind, c *connection, n int) {
+	if t.OnEvent != nil {
+		t.OnEvent(peer.Event{Kind: kind, Connection: c.id, Node: c.node, Bytes: n})
+	}
+}
--- a/io/node/release_test.go
+++ b/io/node/release_test.go
@@ -217,7 +217,7 @@
 		watch.Go(func() {
 			for {
 				v := s.view()
-				_, routed := v.Route("/catalogue")
+				_, routed := v.Route("", "/catalogue")
 				_, known := v.Service("catalogue")
 				if has := len(v.Targets("catalogue")) > 0; routed != known || routed != has || routed != (v.Version()%2 == 1) {
 					t.Errorf("%s, version %d: route %v, service %v, targets %v", s.name, v.Version(), routed, known, has)
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -34,6 +34,8 @@
 type (
 	// call is one request of a caller. It owns its memory.
 	call struct {
+		// ctx ends when the caller closes its connection.
+		ctx      context.Context
 		view     *view.View
 		route    model.Route
 		deadline clock.Millis
@@ -84,6 +86,9 @@
 			}
 			return resp
 		}
+		if c.ctx.Err() != nil {
+			return &wire.Response{Verdict: d.Verdict, Reason: reasonGaveUp}
+		}
 		in.metrics.retries.Inc()
 		time.Sleep((d.At - in.Clock.Now()).Duration())
 	}
@@ -129,7 +134,7 @@
 	in.mu.Lock()
 	at, ok := in.Policy.HedgeAt(c.state, in.Picker.Delay95(c.route.Service))
 	in.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), (c.deadline - now).Duration())
+	ctx, cancel := context.WithTimeout(c.ctx, (c.deadline - now).Duration())
 	defer cancel()
 	if !ok {
 		return in.attempt(ctx, c, choice, c.state.Sent)
@@ -192,7 +197,7 @@
 		return
 	}
 	in.metrics.hedges.Inc()
-	ctx, stop := context.WithTimeout(context.Background(), (c.deadline - now).Duration())
+	ctx, stop := context.WithTimeout(c.ctx, (c.deadline - now).Duration())
 	h.started, h.stop = true, stop
 	in.group.Go(func() {
 		resp := in.attempt(ctx, c, choice, number)
@@ -267,7 +272,7 @@
 		resp.Reason = reasonDeadline
 		return resp
 	}
-	if r.Idempotent {
+	if r.Idempotent || c.ctx.Err() != nil {
 		return resp
 	}
 	in.metrics.voids.Inc()
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -69,6 +69,8 @@
 		// Zero means the default.
 		MaxRecords int
 		Limits     Limits
+		// Dialect is what the target speaks.
+		Dialect Dialect
 		// QueueLength, AgeingMillis, RunMillis and OccupiedMillis configure the
 		// gate; zero means the default.
 		QueueLength    int
@@ -130,6 +132,7 @@
 		g.Log = logs.Discard{}
 	}
 	g.Limits = g.Limits.withDefaults()
+	g.Dialect = g.Dialect.withDefaults()
 	orDefault(&g.QueueLength, DefaultQueueLength)
 	orDefault(&g.MaxRecords, DefaultMaxRecords)
 	orDefault(&g.AgeingMillis, DefaultAgeingMillis)
@@ -193,7 +196,7 @@
 		if g.target != nil {
 			g.target.close()
 		}
-		g.target = newTarget(a.Target, a.Address, a.Connections, g.Limits)
+		g.target = newTarget(a.Target, a.Address, a.Connections, g.Limits, &g.Dialect)
 	}
 	g.target.client.SetMaxConns(int(a.Connections))
 	g.drained = nil
--- a/io/proxy/headers.go
+++ b/io/proxy/headers.go
@@ -35,11 +35,12 @@
 }
 
 // copyHeaders copies the end-to-end fields into memory of their own; connection
-// is the value of the Connection field, which names further fields to drop.
-func copyHeaders(fields iter.Seq2[[]byte, []byte], connection []byte) wire.Headers {
+// is the value of the Connection field, which names further fields to drop. Fields
+// that the dialect sets on requests are dropped as well; d is nil for answers.
+func copyHeaders(fields iter.Seq2[[]byte, []byte], connection []byte, d *Dialect) wire.Headers {
 	headers := make(wire.Headers, 0, headerRoom)
 	for name, value := range fields {
-		if !isHopByHop(name) && !names(connection, name) {
+		if !isHopByHop(name) && !names(connection, name) && (d == nil || !d.sets(name)) {
 			headers.Append(name, value)
 		}
 	}
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -24,6 +24,7 @@
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
+	"hickoryrail/io/httpd"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/plat"
 	"hickoryrail/io/wire"
@@ -38,6 +39,8 @@
 	readMillis = 30 * clock.Second
 	// idleCallerMillis is the age at which an idle caller's connection closes.
 	idleCallerMillis = clock.Minute
+	// maxCallerIDBytes bounds the caller's id of a request in ids and logs.
+	maxCallerIDBytes = 64
 	// quietMillis is the time without open connections after which a drain closes
 	// the listener. A caller whose connection was closed with its answer connects
 	// again at once, and closing the listener resets what it has not accepted.
@@ -92,6 +95,10 @@
 		// refused.
 		Store  plat.Store
 		Limits Limits
+		// Dialect is what callers and targets speak.
+		Dialect Dialect
+		// Service is that of the target beside the node, where its requests begin.
+		Service ident.ServiceName
 		// StoreMillis bounds the claim of an idempotency key; 0 means the default
 		// of once.Claim.
 		StoreMillis clock.Millis
@@ -103,7 +110,7 @@
 		Registry prometheus.Registerer
 
 		metrics  ingressMetrics
-		server   *fasthttp.Server
+		server   *httpd.Server
 		listener net.Listener
 		view     atomic.Pointer[view.View]
 		// prefix and sequence make request ids unique.
@@ -115,8 +122,10 @@
 		// group holds hedges and stores of outcomes, which outlive their handler.
 		group conc.WaitGroup
 
-		// mu guards Picker, Policy and events; it is never held while waiting.
+		// mu guards Picker, Policy, split and events; it is never held while
+		// waiting.
 		mu     sync.Mutex
+		split  route.Split
 		events []route.Event
 	}
 )
@@ -147,23 +156,37 @@
 		return err
 	}
 	in.listener = lingerListener{listener}
-	in.server = &fasthttp.Server{
-		Handler:                      in.handle,
-		ErrorHandler:                 in.malformed,
-		ReadBufferSize:               int(in.Limits.HeaderBytes),
-		MaxRequestBodySize:           int(in.Limits.BodyBytes),
-		ReadTimeout:                  readMillis.Duration(),
-		WriteTimeout:                 readMillis.Duration(),
-		IdleTimeout:                  idleCallerMillis.Duration(),
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		NoDefaultContentType:         true,
-		CloseOnShutdown:              true,
-		Logger:                       quiet{},
-	}
+	in.Dialect = in.Dialect.withDefaults()
+	in.server = &httpd.Server{Handler: in.handle, Malformed: in.malformed, Bounds: in.bounds}
 	return nil
 }
 
+// bounds returns what the view in force and the settings allow callers.
+func (in *Ingress) bounds() httpd.Bounds {
+	b := httpd.Bounds{
+		HeaderBytes: in.Limits.HeaderBytes, BodyBytes: in.Limits.BodyBytes,
+		HeaderMillis: readMillis, BodyMillis: readMillis, IdleMillis: idleCallerMillis,
+	}
+	v := in.view.Load()
+	if v == nil {
+		return b
+	}
+	l := v.Release().Configuration.Rules.Callers
+	if l.HeaderBytes > 0 {
+		b.HeaderBytes = l.HeaderBytes
+	}
+	if l.BodyBytes > 0 {
+		b.BodyBytes = min(l.BodyBytes, in.Limits.BodyBytes)
+	}
+	if l.HeaderMillis > 0 {
+		b.HeaderMillis = l.HeaderMillis
+	}
+	if l.IdleMillis > 0 {
+		b.IdleMillis = l.IdleMillis
+	}
+	return b
+}
+
 // Address returns the address of the listener.
 func (in *Ingress) Address() string {
 	return in.listener.Addr().String()
@@ -173,6 +196,7 @@
 func (in *Ingress) SetView(v *view.View) {
 	in.mu.Lock()
 	in.Picker.SetView(in.Clock.Now(), v)
+	in.split.Keep(v.Release().Configuration.Rules.Routes)
 	in.mu.Unlock()
 	in.view.Store(v)
 }
@@ -196,12 +220,12 @@
 	case <-ctx.Done():
 	}
 	in.draining.Store(true)
-	// The server knows its listener only once Serve has begun, so the listener
-	// is closed here as well.
-	_ = in.listener.Close()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = in.server.ShutdownWithContext(ended) // closes idle connections
+	err := in.server.Close(ended) // requests in flight have no time left
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
 	return <-served
 }
 
@@ -211,12 +235,13 @@
 // cross with a request whose caller would not learn its fate.
 func (in *Ingress) Drain(ctx context.Context) error {
 	in.draining.Store(true)
+	in.server.BeginClose()
 	t := time.NewTicker(drainPollMillis.Duration())
 	defer t.Stop()
 	linger := time.Now().Add(in.LingerMillis.Duration())
 	quiet := time.Now()
 	for in.inFlight.Load() > 0 || time.Now().Before(linger) && time.Since(quiet) < quietMillis.Duration() {
-		if in.server.GetOpenConnectionsCount() > 0 {
+		if in.server.OpenConnections() > 0 {
 			quiet = time.Now()
 		}
 		select {
@@ -225,7 +250,7 @@
 		case <-t.C:
 		}
 	}
-	if err := in.server.ShutdownWithContext(ctx); err != nil {
+	if err := in.server.Close(ctx); err != nil {
 		return err
 	}
 	settled := make(chan struct{})
@@ -245,7 +270,7 @@
 
 // handle answers one request. Everything that attempts need is copied out of
 // ctx, because fasthttp reuses its memory once handle returns.
-func (in *Ingress) handle(ctx *fasthttp.RequestCtx) {
+func (in *Ingress) handle(caller context.Context, ctx *fasthttp.RequestCtx) {
 	in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	now := in.Clock.Now()
@@ -258,6 +283,9 @@
 		return
 	}
 	c, refusal := in.newCall(ctx, now)
+	if c != nil {
+		c.ctx = caller
+	}
 	if refusal != nil {
 		in.reply(ctx, refusal, now)
 		return
@@ -267,6 +295,7 @@
 		in.reply(ctx, in.forward(c), now)
 		return
 	}
+	c.ctx = context.WithoutCancel(caller) // the outcome of a key is stored for whoever asks next
 	in.reply(ctx, in.keyed(c, string(ctx.Request.Header.Peek(headerCaller)), string(key)), now)
 }
 
@@ -296,7 +325,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	timeout, ok := timeoutOf(ctx.Request.Header.Peek(headerTimeout), r.TimeoutMillis)
+	timeout, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), r.TimeoutMillis)
 	if !ok {
 		return nil, notRun(reasonTimeout)
 	}
@@ -304,15 +333,26 @@
 		return nil, notRun(reasonKeyLength)
 	}
 	h := &ctx.Request.Header
+	in.mu.Lock()
+	r.Service = in.split.Next(&r)
+	in.mu.Unlock()
 	c := &call{
 		view: v, route: r, deadline: now + timeout, id: in.nextID(),
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
 			Method: string(h.Method()), URI: append([]byte(nil), uri...),
-			Headers: copyHeaders(h.All(), h.Peek("Connection")),
+			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
 			Body:    append([]byte(nil), ctx.Request.Body()...),
 		},
 	}
+	if in.Dialect.Request != "" {
+		if id := h.Peek(in.Dialect.Request); len(id) > 0 && len(id) <= maxCallerIDBytes {
+			c.id = string(id) + "." + c.id
+		}
+	}
+	if in.Dialect.Origin != "" {
+		c.request.Headers.Append([]byte(in.Dialect.Origin), []byte(in.Service))
+	}
 	if !c.request.Forwardable() {
 		return nil, notRun(reasonRequest)
 	}
@@ -328,9 +368,10 @@
 		uri = ctx.URI().RequestURI() // absolute form
 	}
 	path, normal := string(pathOf(uri)), string(ctx.Path())
-	r, ok := v.Route(path)
+	host := string(ctx.Request.Header.Host())
+	r, ok := v.Route(host, path)
 	if path != normal {
-		if other, found := v.Route(normal); found != ok || other.Name != r.Name {
+		if other, found := v.Route(host, normal); found != ok || other.Name != r.Name {
 			return model.Route{}, nil, notRun(reasonPath)
 		}
 	}
@@ -382,16 +423,23 @@
 			h.SetContentLength(resp.ContentLength)
 		}
 	} else {
-		ctx.SetStatusCode(statusOf(resp))
+		status := statusOf(resp)
+		if in.Dialect.Outcome != nil {
+			var after clock.Millis
+			status, after = in.Dialect.Outcome(resp.Verdict, status, resp.Reason)
+			if after >= 0 {
+				h.Set("Retry-After", in.Dialect.RetryAfter(after))
+			}
+		}
+		ctx.SetStatusCode(status)
 		h.SetContentType("text/plain; charset=utf-8")
 		ctx.Response.SetBodyString(resp.Reason + "\n")
 	}
-	h.Set(headerVerdict, resp.Verdict.String())
-	if resp.Reason != "" {
-		h.Set(headerReason, resp.Reason)
-	}
-	if in.draining.Load() {
-		ctx.SetConnectionClose()
+	if !in.Dialect.Plain {
+		h.Set(headerVerdict, resp.Verdict.String())
+		if resp.Reason != "" {
+			h.Set(headerReason, resp.Reason)
+		}
 	}
 	in.metrics.verdicts[resp.Verdict].Inc()
 	in.metrics.delay.Observe((in.Clock.Now() - arrived).Duration().Seconds())
--- a/io/proxy/linger.go
+++ b/io/proxy/linger.go
@@ -27,10 +27,6 @@
 		// linger is set by the goroutine that later closes the connection.
 		linger bool
 	}
-
-	// quiet drops the server's log lines on single connections; metrics count
-	// them.
-	quiet struct{}
 )
 
 // Accept returns the next connection.
@@ -64,6 +60,3 @@
 	}
 	return c.TCPConn.Close()
 }
-
-// Printf drops the line.
-func (quiet) Printf(string, ...any) {}
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -392,9 +392,9 @@
 		}
 		return g.OnCall(ctx, "ingress", body), nil
 	}
-	c, _ := f.view.Route("/check/echo")
+	c, _ := f.view.Route("", "/check/echo")
 	c.HedgeAfterMillis = 1
-	r := &call{view: f.view, route: c, deadline: in.Clock.Now() + 2*clock.Minute, id: "hedged", request: wire.Request{
+	r := &call{ctx: context.Background(), view: f.view, route: c, deadline: in.Clock.Now() + 2*clock.Minute, id: "hedged", request: wire.Request{
 		Idempotent: true, Method: "POST", URI: []byte("/check/echo"), Body: []byte("hedged"),
 	}}
 	resp := in.forward(r)
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"syscall"
@@ -38,6 +39,8 @@
 	reasonNoLength     = "target's answer has no length"
 	reasonAnswerSize   = "target's answer is too large"
 	reasonGaveUp       = "caller gave up"
+	reasonUnexecuted   = "target did not run the request"
+	reasonProof        = "answer is not the target's whole one"
 )
 
 type (
@@ -48,6 +51,7 @@
 		id      ident.TargetID
 		address string
 		limits  Limits
+		dialect *Dialect
 		client  *fasthttp.HostClient
 	}
 
@@ -64,6 +68,11 @@
 		req   *fasthttp.Request
 		resp  *fasthttp.Response
 		until time.Time
+		// id is the caller's id of the request, which the answer repeats.
+		id []byte
+		// ended says that the answer ended with its connection, and stray that
+		// there was an answer to another request before it.
+		ended, stray bool
 	}
 )
 
@@ -77,8 +86,8 @@
 )
 
 // newTarget returns the client of the target at address.
-func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits) *target {
-	t := &target{id: id, address: address, limits: limits}
+func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits, d *Dialect) *target {
+	t := &target{id: id, address: address, limits: limits, dialect: d}
 	t.client = &fasthttp.HostClient{
 		Addr:        address,
 		DialTimeout: dialTarget,
@@ -187,10 +196,16 @@
 	if err != nil {
 		return nil, false, x.verdict(ctx, err)
 	}
+	if t.refused(x.resp) {
+		return nil, clean && !x.resp.ConnectionClose(), result.NewError(result.NotRun, reasonUnexecuted, nil)
+	}
+	if !t.dialect.proves(x.resp.StatusCode(), x.resp.Header.Peek) {
+		return nil, false, result.NewError(result.MayHaveRun, reasonProof, nil)
+	}
 	// The pooled response is copied before it is released.
 	resp := &wire.Response{
 		Verdict: result.Ran, Status: x.resp.StatusCode(),
-		Headers: copyHeaders(x.resp.Header.All(), x.resp.Header.Peek("Connection")),
+		Headers: copyHeaders(x.resp.Header.All(), x.resp.Header.Peek("Connection"), nil),
 		Body:    bytes.Clone(x.resp.Body()),
 	}
 	if x.resp.SkipBody {
@@ -199,10 +214,18 @@
 	return resp, clean && !x.resp.ConnectionClose(), nil
 }
 
+// refused reports whether the target says that it did not run the request.
+func (t *target) refused(resp *fasthttp.Response) bool {
+	return t.dialect.Unexecuted != nil && t.dialect.Unexecuted(resp.StatusCode(), resp.Header.Peek)
+}
+
 // roundTrip writes the request and reads the answer. It reports whether the
 // answer was followed by nothing else.
 func (t *target) roundTrip(x *exchange, r *wire.Request) (bool, error) {
-	fill(x.req, r, time.Until(x.until))
+	t.fill(x.req, r, time.Until(x.until))
+	if t.dialect.Request != "" {
+		x.id = x.req.Header.Peek(t.dialect.Request)
+	}
 	w := t.client.AcquireWriter(x.conn)
 	err := x.req.Write(w)
 	if err == nil {
@@ -215,13 +238,25 @@
 	b := t.client.AcquireReader(x.conn)
 	defer t.client.ReleaseReader(b)
 	x.resp.SkipBody = r.Method == fasthttp.MethodHead
-	err = x.read(b, int(t.limits.BodyBytes))
-	return err == nil && b.Buffered() == 0, err
+	for {
+		if err := x.read(b, int(t.limits.BodyBytes), t.dialect.Proof != ""); err != nil {
+			return false, err
+		}
+		if t.dialect.answers(x.id, x.resp.Header.Peek) {
+			break
+		}
+		// A late answer to an earlier request of this connection.
+		x.stray = true
+		x.resp.Reset()
+		x.resp.SkipBody = r.Method == fasthttp.MethodHead
+	}
+	return !x.ended && !x.stray && b.Buffered() == 0, nil
 }
 
-// read reads the final response. A body that ends with the connection is
-// refused, since it looks complete when it was cut.
-func (x *exchange) read(b *bufio.Reader, limit int) error {
+// read reads the final response. A body that ends with the connection looks
+// complete when it was cut, so it is refused unless the answer has a proof that
+// callers check.
+func (x *exchange) read(b *bufio.Reader, limit int, unframed bool) error {
 	h := &x.resp.Header
 	for interim := 0; ; interim++ {
 		if err := h.Read(b); err != nil {
@@ -238,9 +273,13 @@
 	if x.resp.SkipBody || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		return nil
 	}
-	if length == identity {
+	if length == identity && !unframed {
 		return errNoLength
 	}
+	if length == identity {
+		x.ended = true
+		return x.readRest(b, limit)
+	}
 	if err := x.resp.ReadBody(b, limit); err != nil {
 		return err
 	}
@@ -250,8 +289,21 @@
 	return nil
 }
 
+// readRest reads a body that ends with the connection. A reset is an error.
+func (x *exchange) readRest(b *bufio.Reader, limit int) error {
+	body, err := io.ReadAll(io.LimitReader(b, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	x.resp.SetBodyRaw(body)
+	return nil
+}
+
 // fill sets the HTTP request that r describes.
-func fill(req *fasthttp.Request, r *wire.Request, left time.Duration) {
+func (t *target) fill(req *fasthttp.Request, r *wire.Request, left time.Duration) {
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURIBytes(r.URI)
 	for name, value := range r.Headers.All() {
@@ -260,8 +312,13 @@
 	if len(req.Header.Host()) == 0 {
 		req.Header.SetHost("target")
 	}
-	req.Header.Set(headerRequest, string(r.ID))
-	req.Header.Set(headerTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	if t.dialect.Request == "" {
+		req.Header.Set(headerRequest, string(r.ID))
+	}
+	if t.dialect.Target != "" {
+		req.Header.Set(t.dialect.Target, string(t.id))
+	}
+	req.Header.Set(t.dialect.Timeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	req.SetBodyRaw(r.Body)
 }
 
