--- a/cmd/hickoryrail/main.go
+++ b/cmd/hickoryrail/main.go
@@ -9,20 +9,30 @@
 
 	"hickoryrail/io/bench"
 	"hickoryrail/io/cmds"
+	"hickoryrail/io/conf"
 	"hickoryrail/io/demo"
 	"hickoryrail/io/node"
 	"hickoryrail/io/target"
+	"hickoryrail/platform"
 )
 
 func main() {
 	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, cmds.Backends{
-		Node:   node.Run,
+		Node:   runNode,
 		Target: newTarget,
 		Demo:   demoBackend(),
 		Bench:  benchBackend(),
 	}))
 }
 
+// runNode runs a node on the platform that its settings name.
+func runNode(ctx context.Context, s conf.Settings, output io.Writer) error {
+	if s.Platform == conf.PlatformRows {
+		return platform.Run(ctx, s, output)
+	}
+	return node.Run(ctx, s, output)
+}
+
 // newTarget creates a stand-in target.
 func newTarget(o cmds.TargetOptions) cmds.TargetServer {
 	return &target.Server{ID: o.ID, Service: o.Service, Listen: o.Listen, Node: o.Node, DelayMillis: o.DelayMillis}
--- a/io/admin/target.go
+++ b/io/admin/target.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"hickoryrail/core/ident"
+	"hickoryrail/core/report"
 )
 
 const (
@@ -25,6 +26,9 @@
 		Service ident.ServiceName
 		// Address is IP:port of the target's HTTP listener.
 		Address string
+		// Slots is the number of requests that the target runs at the same time; 0
+		// leaves it to the configuration.
+		Slots ident.Slots `json:"-"`
 		// InFlight is the number of requests that the target already runs.
 		InFlight int
 		// Starting says that the target does not take requests yet.
@@ -40,6 +44,13 @@
 		Starting bool
 	}
 
+	// Report is one statement of a target with the order that the target gives it.
+	Report struct {
+		report.Statement
+		// Announcement describes the target; it is empty in a goodbye.
+		Announcement Announcement
+	}
+
 	// targetName is the body of a drain or leave.
 	targetName struct {
 		Target ident.TargetID
--- a/io/conf/parse.go
+++ b/io/conf/parse.go
@@ -274,7 +274,9 @@
 			faults = append(faults, Fault{Line: given[key], Key: key, Value: value, Allowed: allowed})
 		}
 	}
-	if (s.Service == "") != (s.Target == "") {
+	hosted := s.Platform == PlatformRows
+	require(hosted || isLoopback(s.TargetAddress), "TargetAddress", strconv.Quote(s.TargetAddress), "a loopback IP address and port")
+	if !hosted && (s.Service == "") != (s.Target == "") {
 		require(s.Service == "", "Service", strconv.Quote(string(s.Service)), "Service and Target are both set or both empty")
 		require(s.Target == "", "Target", strconv.Quote(string(s.Target)), "Service and Target are both set or both empty")
 	}
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -32,7 +32,9 @@
 		// AdvertiseAddress is the address that peers use; never unspecified.
 		AdvertiseAddress string
 
-		PlatformURL  string
+		PlatformURL string
+		// Platform says which protocol the platform speaks.
+		Platform     Platform
 		Seeds        []Seed
 		KeyDirectory string
 
@@ -96,5 +98,20 @@
 	Stop struct {
 		// GraceMillis bounds the wait for requests in flight.
 		GraceMillis clock.Millis
+		// LameDuckMillis is how long a node that stops goes on serving while it
+		// says that it is not ready.
+		LameDuckMillis clock.Millis
 	}
+
+	// Platform names a protocol of the platform.
+	Platform string
+)
+
+const (
+	// PlatformObjects is the protocol of docs/platform.md.
+	PlatformObjects Platform = "objects"
+	// PlatformRows is the protocol of the platform that the package platform
+	// translates. Targets announce themselves in its form as well, and nodes talk
+	// over TCP.
+	PlatformRows Platform = "rows"
 )
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -71,7 +71,7 @@
 		func(s *Settings) *ident.TargetID { return &s.Target }),
 	text("CallerAddress", "127.0.0.1:8080", addressAllowed, "TCP address for callers (HTTP/1.1).", isAddress,
 		func(s *Settings) *string { return &s.CallerAddress }),
-	text("TargetAddress", "127.0.0.1:8081", "a loopback IP address and port", "TCP address at which the target announces itself.", isLoopback,
+	text("TargetAddress", "127.0.0.1:8081", addressAllowed, "TCP address at which the target announces itself; on a loopback interface unless Platform is rows.", isAddress,
 		func(s *Settings) *string { return &s.TargetAddress }),
 	text("AdminAddress", "127.0.0.1:8082", addressAllowed, "TCP address for metrics, health and status.", isAddress,
 		func(s *Settings) *string { return &s.AdminAddress }),
@@ -83,6 +83,9 @@
 		func(s *Settings) *string { return &s.AdvertiseAddress }),
 	required(text("PlatformURL", "", "an http or https URL with a host and without a query", "Base URL of the platform's table service and object store.", isURL,
 		func(s *Settings) *string { return &s.PlatformURL })),
+	text("Platform", string(PlatformObjects), "objects or rows", "Protocol of the platform: objects is that of docs/platform.md, rows that of the package platform.",
+		func(v string) bool { return v == string(PlatformObjects) || v == string(PlatformRows) },
+		func(s *Settings) *Platform { return &s.Platform }),
 	{
 		Key: "Seeds", Kind: List, Allowed: `entries "NodeID@IP:port"`,
 		Help: "Members that the node contacts first; empty only for the first node of a fleet.", set: setSeeds,
@@ -130,6 +133,8 @@
 
 	number("Stop.GraceMillis", 10_000, 0, 600_000, "Longest wait for requests in flight at a planned stop.",
 		func(s *Settings) *clock.Millis { return &s.Stop.GraceMillis }),
+	number("Stop.LameDuckMillis", 0, 0, 60_000, "Time at the start of a planned stop for which the node serves on and says that it is not ready.",
+		func(s *Settings) *clock.Millis { return &s.Stop.LameDuckMillis }),
 }
 
 // Table returns a copy of the table of settings.
--- a/io/node/fixture_test.go
+++ b/io/node/fixture_test.go
@@ -207,8 +207,8 @@
 			read(v, d)
 		}
 	}
-	receive := s.transport.OnControl
-	s.transport.OnControl = func(from ident.NodeID, body []byte) {
+	receive := s.transport.(*peer.Transport).OnControl
+	s.transport.(*peer.Transport).OnControl = func(from ident.NodeID, body []byte) {
 		if m, err := wire.DecodeControl(body); err == nil && s.drop != nil && s.drop(from, m) {
 			return
 		}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -13,7 +13,6 @@
 	"hickoryrail/core/spread"
 	"hickoryrail/core/view"
 	"hickoryrail/io/logs"
-	"hickoryrail/io/peer"
 	"hickoryrail/io/proxy"
 	"hickoryrail/io/wire"
 )
@@ -35,7 +34,7 @@
 	// It serializes the events of both state machines.
 	fleet struct {
 		clock     clock.Clock
-		transport *peer.Transport
+		transport transport
 		ingress   *proxy.Ingress
 		gateway   *proxy.Gateway
 		log       logs.Sink
@@ -248,7 +247,7 @@
 	f.metrics.version.Set(float64(r.Version))
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Reason: reasonInForce})
 	for _, s := range r.Configuration.Inventory.Services {
-		if s.Name == f.service {
+		if s.Name == f.service && !s.TargetSlots {
 			f.gateway.Resize(s.Slots, s.Connections)
 		}
 	}
@@ -276,3 +275,17 @@
 	f.metrics.refusedReleases.Inc()
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Node: from, Version: v, Reason: reasonRefused})
 }
+
+// addSeeds tells the membership of nodes that a directory lists.
+func (f *fleet) addSeeds(seeds []member.Seed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.AddSeeds(f.clock.Now(), seeds)
+}
+
+// alone reports whether no other node is known to be alive.
+func (f *fleet) alone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Size() == 1
+}
--- /dev/null
+++ b/io/node/hosted.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/kernel"
+	"hickoryrail/core/member"
+	"hickoryrail/core/spread"
+	"hickoryrail/io/admin"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/frame"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/plat"
+	"hickoryrail/io/proxy"
+	"hickoryrail/io/stats"
+)
+
+const (
+	serviceSource   kernel.Name = "release source"
+	serviceEndpoint kernel.Name = "platform endpoint"
+
+	// hostedRenewalMillis is the time without a report after which a target is
+	// gone. A report may arrive seconds late; a target that ends without a word
+	// is noticed by the requests to it.
+	hostedRenewalMillis = 8 * clock.Second
+	// gateMillis is how long the gate of a node that stops goes on admitting
+	// calls of nodes that have not heard of the stop.
+	gateMillis = 1 * clock.Second
+)
+
+type (
+	// Hosted is what an adapter provides for a node on a platform with protocols
+	// of its own.
+	Hosted struct {
+		Settings  conf.Settings
+		Dialect   proxy.Dialect
+		Source    plat.Source
+		Directory plat.Directory
+		// Endpoint returns the server at which the platform and the target call
+		// the node.
+		Endpoint func(c Control) Endpoint
+	}
+
+	// Control is what an endpoint tells and asks the node.
+	Control interface {
+		// Report takes a statement of the target beside the node. After an error
+		// nothing has changed, and the target has no acknowledgement.
+		Report(r admin.Report) error
+		// Ready reports whether the node may get callers.
+		Ready() bool
+	}
+
+	// Endpoint is a server of an adapter.
+	Endpoint interface {
+		Open() error
+		Run(ctx context.Context) error
+		Drain(ctx context.Context) error
+	}
+
+	// control joins the parts of a node that an endpoint needs.
+	control struct {
+		*targets
+		node *Node
+	}
+)
+
+// Ready reports whether the node may get callers.
+func (c control) Ready() bool { return c.node.Ready() }
+
+// NewHosted wires a node with the parts that an adapter provides. The log goes to
+// output as JSON lines.
+func NewHosted(h Hosted, output io.Writer) (*Node, error) {
+	random, err := newRandom()
+	if err != nil {
+		return nil, err
+	}
+	s := h.Settings
+	n := &Node{settings: s, kernel: kernel.New(), clock: clock.NewSystem()}
+	n.logger = logs.New(output, s.Log.Level)
+	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, logCapacity)
+	n.registry, n.metrics = stats.NewRegistry(), newMetrics()
+	if err := n.decisions.Register(n.registry); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
+	n.wirePath(random)
+	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
+	n.gateway.Dialect = h.Dialect
+	t := &frame.Transport{
+		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
+		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
+		OnCall:    n.onCall,
+		OnEvent:   n.stalls.event,
+	}
+	n.transport = t
+	n.ingress.Peers, n.stalls.transport = t, t
+	n.fleet = &fleet{
+		clock: n.clock, transport: t, ingress: n.ingress, gateway: n.gateway,
+		log: n.decisions, service: s.Service, metrics: n.metrics,
+		releases: spread.New(spread.DefaultConfig(), fork(random)),
+		// The source is watched, so what it holds comes without being asked for.
+		readRelease: func(ident.Version, ident.Digest) {}, needSource: func() {},
+	}
+	n.fleet.releases.OnRefuse = n.fleet.refused
+	if err := n.metrics.register(n.registry, n.fleet); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
+	n.targets = &targets{renewal: hostedRenewalMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
+	n.status = &status{fleet: n.fleet, stopping: n.stopping.Load}
+	n.tableRandom = fork(random)
+	n.admin = &admin.Admin{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
+	w := &watcher{
+		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
+		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed,
+	}
+	return n, n.registerHosted(w, h.Endpoint(control{targets: n.targets, node: n}))
+}
+
+// seed returns the node's own entry for the directory.
+func (n *Node) seed() member.Seed {
+	return member.Seed{Node: n.settings.Node, Address: n.settings.AdvertiseAddress}
+}
+
+// registerHosted gives the parts to the kernel in the order of their start.
+func (n *Node) registerHosted(w *watcher, e Endpoint) error {
+	services := []struct {
+		name kernel.Name
+		unit *unit
+	}{
+		{serviceLog, &unit{run: n.decisions.Run}},
+		{serviceTransport, &unit{open: plainOpen(n.transport.Open), run: n.transport.Run, drain: n.transport.Drain}},
+		{serviceStalls, &unit{run: n.stalls.run}},
+		{serviceGateway, &unit{open: plainOpen(n.gateway.Open), run: n.gateway.Run}},
+		{serviceIngress, &unit{open: plainOpen(n.ingress.Open), run: n.ingress.Run}},
+		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
+		{serviceSource, &unit{run: w.run}},
+		{serviceLapse, &unit{run: n.targets.run, drain: n.drainCalls}},
+		{serviceAdmin, &unit{open: plainOpen(n.admin.Open), run: n.admin.Run, drain: n.admin.Drain}},
+		{serviceEndpoint, &unit{open: plainOpen(e.Open), run: e.Run, drain: e.Drain}},
+	}
+	for _, s := range services {
+		if err := n.kernel.Register(s.name, s.unit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RunHosted runs a node until ctx ends. It then says that it is not ready and
+// serves on until callers have noticed, and stops gracefully.
+func RunHosted(ctx context.Context, h Hosted, output io.Writer) error {
+	n, err := NewHosted(h, output)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	n.stopping.Store(true)
+	n.logger.WithField("Node", string(n.settings.Node)).Info("node is asked to stop")
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.Settings.Stop.GraceMillis.Duration())
+	defer cancel()
+	n.lameDuck(grace, h.Settings.Stop.LameDuckMillis)
+	if err := n.Stop(grace); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil // the time for a graceful stop is over
+}
+
+// lameDuck tells the other nodes to send their calls elsewhere and goes on serving
+// callers for a while.
+func (n *Node) lameDuck(ctx context.Context, d clock.Millis) {
+	n.targets.announceStop()
+	sleep(ctx, min(d, gateMillis).Duration())
+	n.targets.stop()
+	sleep(ctx, max(d-gateMillis, 0).Duration())
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -75,7 +75,7 @@
 	// address is known.
 	tableRandom *rand.Rand
 
-	transport *peer.Transport
+	transport transport
 	stalls    *stalls
 	fleet     *fleet
 	gateway   *proxy.Gateway
@@ -88,6 +88,19 @@
 	operators *admin.Operators
 }
 
+// transport carries calls and control messages between nodes.
+type transport interface {
+	proxy.Peers
+	Open() error
+	Run(ctx context.Context) error
+	Drain(ctx context.Context) error
+	Address() string
+	SendControl(to ident.NodeID, address string, body []byte)
+	ControlTraffic() peer.Traffic
+	Echo(ctx context.Context, id peer.ConnectionID) error
+	CloseConnection(id peer.ConnectionID)
+}
+
 // New loads the node's keys and wires its parts. The log goes to output as JSON
 // lines.
 func New(s conf.Settings, output io.Writer) (*Node, error) {
@@ -135,8 +148,23 @@
 	return rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 }
 
-// wireDataPath creates the transport, the gateway and the ingress.
+// wireDataPath creates the gateway, the ingress and the QUIC transport.
 func (n *Node) wireDataPath(identity keys.Identity, random *rand.Rand) {
+	n.wirePath(random)
+	peerLimits := peer.DefaultLimits()
+	peerLimits.BodyBytes = n.gateway.Limits.CallBytes()
+	n.transport = &peer.Transport{
+		Self: n.settings.Node, Listen: n.settings.PeerAddress, Identity: identity, Registry: n.registry, Limits: peerLimits,
+		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
+		OnCall:    n.onCall,
+		OnEvent:   n.stalls.event,
+	}
+	n.stalls.transport, n.ingress.Peers = n.transport, n.transport
+}
+
+// wirePath creates the gateway, the stall detector and the ingress, without the
+// transport.
+func (n *Node) wirePath(random *rand.Rand) {
 	s := n.settings
 	limits := proxy.Limits{BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes}
 	incarnation := ident.Incarnation(n.clock.Now())
@@ -145,17 +173,8 @@
 		QueueLength: s.Limits.QueueLength, Log: n.decisions, Registry: n.registry,
 	}
 	n.stalls = newStalls(n.clock, s.Stall.ProbeMillis, s.Stall.GiveUpMillis, n.decisions)
-	peerLimits := peer.DefaultLimits()
-	peerLimits.BodyBytes = limits.CallBytes()
-	n.transport = &peer.Transport{
-		Self: s.Node, Listen: s.PeerAddress, Identity: identity, Registry: n.registry, Limits: peerLimits,
-		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
-		OnCall:    n.onCall,
-		OnEvent:   n.stalls.event,
-	}
-	n.stalls.transport = n.transport
 	n.ingress = &proxy.Ingress{
-		Self: s.Node, Listen: s.CallerAddress, Clock: n.clock, Peers: n.transport, Gateway: n.gateway,
+		Self: s.Node, Listen: s.CallerAddress, Clock: n.clock, Gateway: n.gateway,
 		Picker: &route.Picker{Self: s.Node, FailureDomain: s.FailureDomain, Region: s.Region, Rand: fork(random)},
 		Policy: &retry.Policy{Budget: &retry.Budget{}, Rand: fork(random)},
 		Limits: limits, Log: n.decisions, Registry: n.registry,
@@ -209,8 +228,8 @@
 	}
 	n.fleet.readRelease = func(ident.Version, ident.Digest) { n.reader.want() }
 	n.fleet.needSource = n.reader.want
-	n.targets = &targets{clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
-	n.status = &status{fleet: n.fleet, reader: n.reader, stopping: n.stopping.Load}
+	n.targets = &targets{renewal: renewalMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
+	n.status = &status{fleet: n.fleet, lease: n.reader.leaseStatus, stopping: n.stopping.Load}
 	n.tableRandom = fork(random)
 	return nil
 }
--- a/io/node/stalls.go
+++ b/io/node/stalls.go
@@ -26,7 +26,7 @@
 // stalls closes call connections that went silent with calls outstanding.
 type stalls struct {
 	clock     clock.Clock
-	transport *peer.Transport
+	transport transport
 	log       logs.Sink
 	giveUp    clock.Millis
 
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -28,8 +28,9 @@
 
 // status tells the state of the node and of the fleet.
 type status struct {
-	fleet  *fleet
-	reader *reader
+	fleet *fleet
+	// lease tells of the reader's lease; nil on a node without a reader.
+	lease func() admin.LeaseStatus
 	// stopping reports whether the node is about to stop.
 	stopping func() bool
 }
@@ -43,7 +44,10 @@
 	out := admin.Status{
 		Node: self.Node, FailureDomain: self.FailureDomain, Region: self.Region, Incarnation: self.Incarnation,
 		Version: f.inForce.Version, EditID: f.inForce.EditID, Digest: f.inForce.Digest,
-		Reasons: s.reasons(), Members: make(map[string]int), Lease: s.reader.leaseStatus(),
+		Reasons: s.reasons(), Members: make(map[string]int),
+	}
+	if s.lease != nil {
+		out.Lease = s.lease()
 	}
 	for _, r := range f.table.Records() {
 		out.Members[r.State.String()]++
--- a/io/node/targets.go
+++ b/io/node/targets.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
+	"hickoryrail/core/report"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/proxy"
@@ -27,6 +29,8 @@
 	gateway *proxy.Gateway
 	fleet   *fleet
 	log     logs.Sink
+	// renewal is the time without a renewal after which a target is gone.
+	renewal clock.Millis
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -36,6 +40,56 @@
 	renewedAt clock.Millis
 	// stopping refuses announcements because the node stops.
 	stopping bool
+
+	// reports serializes numbered statements, so that none overtakes another
+	// between the ledger and its effect. It is held before mu.
+	reports sync.Mutex
+	// ledger orders the numbered statements.
+	ledger report.Ledger
+}
+
+// Report takes a numbered statement of a target.
+func (t *targets) Report(r admin.Report) error {
+	t.reports.Lock()
+	defer t.reports.Unlock()
+	switch t.ledger.Take(r.Statement) {
+	case report.Started:
+		return t.Announce(r.Announcement)
+	case report.Renewed:
+		return t.renewOrAnnounce(r)
+	case report.Drained:
+		return ignoreUnknown(t.Drain(r.Target))
+	case report.Gone:
+		return ignoreUnknown(t.Leave(r.Target))
+	}
+	return nil
+}
+
+// renewOrAnnounce renews a target, or announces it again if it was refused before.
+func (t *targets) renewOrAnnounce(r admin.Report) error {
+	err := t.Renew(admin.Renewal{Target: r.Target, InFlight: r.Announcement.InFlight, Starting: r.Announcement.Starting})
+	if errors.Is(err, admin.ErrUnknownTarget) {
+		return t.Announce(r.Announcement)
+	}
+	return err
+}
+
+// ignoreUnknown drops the error of a goodbye of a target that is out already.
+func ignoreUnknown(err error) error {
+	if errors.Is(err, admin.ErrUnknownTarget) {
+		return nil
+	}
+	return err
+}
+
+// announceStop tells the other nodes that the target takes no new work, while the
+// gate goes on admitting calls.
+func (t *targets) announceStop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.announced.Target != "" {
+		t.set(member.Draining, "node is about to stop")
+	}
 }
 
 // Announce puts the target in service.
@@ -46,6 +100,9 @@
 		return proxy.ErrDraining
 	}
 	slots, connections := t.fleet.limits(a.Service)
+	if a.Slots > 0 {
+		slots, connections = a.Slots, max(connections, ident.Connections(a.Slots))
+	}
 	err := t.gateway.Announce(proxy.Announcement{
 		Target: a.Target, Address: a.Address,
 		Slots: slots, Connections: connections, InFlight: a.InFlight,
@@ -116,11 +173,14 @@
 // lapse removes the target if its renewal is overdue. A draining target may
 // finish its requests without renewals until the gate's own deadlines end them.
 func (t *targets) lapse() {
+	t.reports.Lock()
+	defer t.reports.Unlock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.announced.Target == "" || t.clock.Now()-t.renewedAt < renewalMillis {
+	if t.announced.Target == "" || t.clock.Now()-t.renewedAt < t.renewal {
 		return
 	}
+	t.ledger.Lapse()
 	t.remove("renewal overdue")
 }
 
--- a/io/plat/store.go
+++ b/io/plat/store.go
@@ -40,6 +40,8 @@
 var (
 	// ErrConflict reports a write whose condition failed; it had no effect.
 	ErrConflict = errors.New("row has another revision")
+	// ErrForgotten reports a revision that the platform's history no longer reaches.
+	ErrForgotten = errors.New("history does not reach back to the revision")
 	// ErrNotFound reports an object that does not exist.
 	ErrNotFound = errors.New("object does not exist")
 )
