--- a/io/cmds/node.go
+++ b/io/cmds/node.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"hickoryrail/io/conf"
+	"hickoryrail/io/logs"
 	"hickoryrail/io/stub"
 )
 
@@ -59,6 +60,8 @@
 			if err != nil {
 				return err
 			}
+			stop := reloads(ctx, path, s, logs.New(stdout, s.Log.Level))
+			defer stop()
 			return node(ctx, s, stdout)
 		},
 	}
--- /dev/null
+++ b/io/httpd/server_test.go
@@ -0,0 +1,246 @@
+package httpd
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/clock"
+)
+
+// patience bounds a wait for something that must happen.
+const patience = 5 * time.Second
+
+// fixture is a server on a loopback address.
+type fixture struct {
+	*Server
+	address string
+}
+
+// start serves with a handler; it stops with the test.
+func start(t *testing.T, handler func(ctx context.Context, rc *fasthttp.RequestCtx)) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{address: l.Addr().String(), Server: &Server{
+		Handler:   handler,
+		Malformed: func(rc *fasthttp.RequestCtx, _ error) { rc.SetStatusCode(http.StatusBadRequest) },
+		Bounds: func() Bounds {
+			return Bounds{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderMillis: 2 * clock.Second, BodyMillis: 2 * clock.Second, IdleMillis: clock.Second}
+		},
+	}}
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if err := f.Close(ctx); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+// dial opens a connection that ends with the test.
+func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+// get returns a request for a path.
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+}
+
+// body reads one answer and returns its body.
+func body(t *testing.T, b *bufio.Reader) (string, *http.Response) {
+	t.Helper()
+	resp, err := http.ReadResponse(b, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text), resp
+}
+
+// TestPipeline guards against requests that wait for the one before, and against
+// answers out of order.
+func TestPipeline(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	f := start(t, func(_ context.Context, rc *fasthttp.RequestCtx) {
+		if string(rc.Path()) == "/1" {
+			<-second // answered only once the request behind it runs
+		} else {
+			close(second)
+		}
+		rc.SetBody(rc.Path())
+	})
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	is.NoErr(err)
+	for _, want := range []string{"/1", "/2"} {
+		got, _ := body(t, b)
+		is.Equal(got, want)
+	}
+}
+
+// TestCallerLeaves guards against work that goes on for a caller who has closed
+// the connection.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	entered, left := make(chan struct{}), make(chan struct{})
+	f := start(t, func(ctx context.Context, _ *fasthttp.RequestCtx) {
+		close(entered)
+		<-ctx.Done()
+		close(left)
+	})
+	c, _ := f.dial(t)
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	<-entered
+	is.NoErr(c.Close())
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("handler was not told")
+	}
+}
+
+// TestCloseBehindLast guards against an answer that closes the connection while a
+// request behind it runs: its caller would take that one for unread and send it
+// again.
+func TestCloseBehindLast(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	f := start(t, func(_ context.Context, rc *fasthttp.RequestCtx) {
+		entered <- struct{}{}
+		<-release
+		rc.SetBody(rc.Path())
+	})
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	is.NoErr(err)
+	<-entered
+	<-entered
+	f.BeginClose()
+	close(release)
+	got, resp := body(t, b)
+	is.Equal(got, "/1")
+	is.True(!resp.Close)
+	got, resp = body(t, b)
+	is.Equal(got, "/2")
+	is.True(resp.Close)
+	_, err = b.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// TestCloseFinishesRequests guards against a stop that cuts a request in flight or
+// leaves an idle connection open.
+func TestCloseFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	f := start(t, func(context.Context, *fasthttp.RequestCtx) {
+		close(entered)
+		<-release
+	})
+	busy, b := f.dial(t)
+	_, idle := f.dial(t)
+	_, err := io.WriteString(busy, get("/"))
+	is.NoErr(err)
+	<-entered
+	closed := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		closed <- f.Close(ctx)
+	}()
+	_, err = idle.ReadByte()
+	is.Equal(err, io.EOF)
+	close(release)
+	_, resp := body(t, b)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(<-closed)
+}
+
+// TestMalformed guards against a malformed request without an answer, and against
+// the use of its connection afterwards.
+func TestMalformed(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(context.Context, *fasthttp.RequestCtx) {})
+	for _, request := range []string{
+		"GET\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n",
+	} {
+		c, b := f.dial(t)
+		_, err := io.WriteString(c, request)
+		is.NoErr(err)
+		_, resp := body(t, b)
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+		_, err = b.ReadByte()
+		is.True(err != nil)
+	}
+}
+
+// TestChunkedAndContinue guards against bodies that are cut, or that wait for a
+// line that never comes.
+func TestChunkedAndContinue(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(_ context.Context, rc *fasthttp.RequestCtx) { rc.SetBody(rc.PostBody()) })
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	is.NoErr(err)
+	got, _ := body(t, b)
+	is.Equal(got, "abcde")
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	is.NoErr(err)
+	line, err := b.ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.Contains(line, "100"))
+	_, err = b.ReadString('\n')
+	is.NoErr(err)
+	_, err = io.WriteString(c, "xy")
+	is.NoErr(err)
+	got, _ = body(t, b)
+	is.Equal(got, "xy")
+}
+
+// TestIdle guards against connections that stay open for ever, and against a slow
+// answer that counts as idleness.
+func TestIdle(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(context.Context, *fasthttp.RequestCtx) { time.Sleep(1500 * time.Millisecond) })
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	_, resp := body(t, b)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	_, err = b.ReadByte()
+	is.Equal(err, io.EOF)
+}
