Order waiting calls by goal and refuse at once what would miss it

Change: the gate's queue is a policy. ByGoal orders by rank, puts the calls of running requests first, and refuses a call whose expected wait exceeds its goal, but for a few that keep the slots busy. Callers that return after a refusal still count as new.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -1,9 +1,6 @@
 package admit
 
 import (
-	"cmp"
-	"slices"
-
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
@@ -42,8 +39,14 @@
 )
 
 const (
-	// classes is the number of classes.
-	classes = int(model.Browse) + 1
+	// ByClass starts waiting calls by class, and within a class by deadline.
+	ByClass Order = iota
+	// ByGoal starts waiting calls by rank, and refuses at once what would wait
+	// beyond its goal.
+	ByGoal
+)
+
+const (
 	// actionRoom is the number of actions that need no new memory.
 	actionRoom = 16
 	// runWeight is the weight of the newest run time in its moving average.
@@ -54,6 +57,9 @@
 	// Kind says what an action asks for.
 	Kind uint8
 
+	// Order names the policy of the queue.
+	Order uint8
+
 	// Action is what the owner of a gate must do.
 	Action struct {
 		Kind Kind
@@ -67,15 +73,34 @@
 	Call struct {
 		ID    ident.RequestID
 		Class model.Class
+		// Rank orders the calls of a ByGoal gate; the lower one goes first.
+		Rank Rank
+		// Goal is the instant by which the caller hopes for an answer; 0 if it
+		// states none.
+		Goal clock.Millis
 		// Deadline is the instant after which an answer is worthless.
 		Deadline clock.Millis
 	}
 
-	// waiting is a call in the queue.
-	waiting struct {
-		Call
-		// arrived orders calls that reached the ageing bound.
-		arrived clock.Millis
+	// queue holds the waiting calls of a gate.
+	queue interface {
+		// push queues c, or refuses it or others in its favour.
+		push(now clock.Millis, c Call, actions []Action) []Action
+		// pop removes the call to start next; at least one call waits.
+		pop(now clock.Millis) (Call, string)
+		// expire refuses the calls that must not wait any longer.
+		expire(now clock.Millis, actions []Action) []Action
+		// remove removes a call and reports whether it waited.
+		remove(id ident.RequestID) bool
+		// clear removes and refuses every call.
+		clear(actions []Action, reason string) []Action
+		// started and finished tell of a call in a slot.
+		started(now clock.Millis, c Call)
+		finished(c Call, took clock.Millis)
+		// next returns the instant at which expire has something to do.
+		next() clock.Millis
+		size() int
+		has(id ident.RequestID) bool
 	}
 
 	// Gate admits requests to one target. It holds no lock, so its owner
@@ -87,6 +112,8 @@
 	// exactly one Start or Refuse; a refused call was never started; while a
 	// drain lasts, nothing starts.
 	Gate struct {
+		// Order is the policy of the queue.
+		Order Order
 		// Slots is the number of requests that the target runs at the same time.
 		Slots ident.Slots
 		// Connections is the number of connections that the target accepts; each
@@ -106,16 +133,10 @@
 		// OccupiedMillis bounds how long an announced slot counts as occupied.
 		OccupiedMillis clock.Millis
 
-		// running maps each running call to its class.
-		running map[ident.RequestID]model.Class
-		// queues holds the waiting calls of each class, the next one first.
-		queues [classes][]waiting
-		// served is when each class last started a call or began to wait.
-		served [classes]clock.Millis
-		// others counts the starts of other classes since the last action.
-		others int
-		// run is the moving average of each class's run time; 0 before the first.
-		run [classes]clock.Millis
+		// running holds the running calls.
+		running map[ident.RequestID]Call
+		// waiting is created with the first call.
+		waiting queue
 		// actions is the memory of the returned slices.
 		actions []Action
 		// occupied counts slots held by calls that an earlier gate started.
@@ -142,38 +163,28 @@
 	case g.free() > 0:
 		g.start(now, c)
 		return append(actions, Action{Kind: Start, ID: c.ID, Reason: ReasonFree})
-	case now+g.wait(c) > c.Deadline:
-		return append(actions, refuse(c.ID, ReasonWait))
 	}
-	return g.enqueue(now, c, actions)
+	return g.queue().push(now, c, actions)
 }
 
 // Finish ends a running call; took is its run time. An unknown id is ignored.
 func (g *Gate) Finish(now clock.Millis, id ident.RequestID, took clock.Millis) []Action {
-	class, ok := g.running[id]
+	c, ok := g.running[id]
 	if !ok {
 		return nil
 	}
 	delete(g.running, id)
-	if g.run[class] == 0 {
-		g.run[class] = took
-	}
-	g.run[class] += runWeight * (took - g.run[class])
+	g.queue().finished(c, took)
 	return g.advance(now, g.buffer())
 }
 
 // Cancel withdraws a waiting call, which is refused. A running call keeps its
 // slot until Finish.
 func (g *Gate) Cancel(now clock.Millis, id ident.RequestID) []Action {
-	for class, q := range g.queues {
-		for i, w := range q {
-			if w.ID == id {
-				g.queues[class] = slices.Delete(q, i, i+1)
-				return g.advance(now, append(g.buffer(), refuse(id, ReasonCancelled)))
-			}
-		}
+	if !g.queue().remove(id) {
+		return nil
 	}
-	return nil
+	return g.advance(now, append(g.buffer(), refuse(id, ReasonCancelled)))
 }
 
 // Tick drops expired calls and releases announced slots that have expired. It
@@ -188,26 +199,14 @@
 	if g.occupied > 0 {
 		next = g.occupiedUntil
 	}
-	for _, q := range g.queues {
-		if len(q) > 0 {
-			next = min(next, q[0].Deadline)
-		}
-	}
-	return next
+	return min(next, g.queue().next())
 }
 
 // Drain refuses waiting and new calls. Drained follows when the last running
 // call has ended, at once if none runs. A repeated drain changes nothing.
 func (g *Gate) Drain(now clock.Millis) []Action {
 	g.draining = true
-	actions := g.buffer()
-	for class, q := range g.queues {
-		for _, w := range q {
-			actions = append(actions, refuse(w.ID, ReasonDraining))
-		}
-		g.queues[class] = nil
-	}
-	return g.advance(now, actions)
+	return g.advance(now, g.queue().clear(g.buffer(), ReasonDraining))
 }
 
 // Reopen ends a drain, for a target that announces itself again.
@@ -272,12 +271,10 @@
 		g.occupied = 0
 	}
 	if g.queued() > 0 {
-		actions = g.expire(now, actions)
+		actions = g.waiting.expire(now, actions)
 	}
 	for g.free() > 0 && g.queued() > 0 {
-		class, at, reason := g.next(now)
-		c := g.queues[class][at].Call
-		g.queues[class] = slices.Delete(g.queues[class], at, at+1)
+		c, reason := g.waiting.pop(now)
 		g.start(now, c)
 		actions = append(actions, Action{Kind: Start, ID: c.ID, Reason: reason})
 	}
@@ -288,144 +285,25 @@
 	return actions
 }
 
-// expire refuses the waiting calls whose deadline has passed.
-func (g *Gate) expire(now clock.Millis, actions []Action) []Action {
-	for class, q := range g.queues {
-		// A queue is in order of deadline, so the expired calls lead it.
-		n := 0
-		for n < len(q) && now >= q[n].Deadline {
-			actions = append(actions, refuse(q[n].ID, ReasonExpired))
-			n++
-		}
-		g.queues[class] = slices.Delete(q, 0, n)
-	}
-	return actions
-}
-
-// next returns the class and the place of the call to start: an action if its
-// share is owed, else the longest waiting call of a class that reached the ageing
-// bound, else the earliest deadline of the first class. At least one call waits.
-func (g *Gate) next(now clock.Millis) (class, at int, reason string) {
-	if g.ActionEvery > 0 && g.others >= g.ActionEvery-1 && len(g.queues[model.Action]) > 0 {
-		return int(model.Action), 0, ReasonShare
-	}
-	first, aged := -1, -1
-	for class, q := range g.queues {
-		if len(q) == 0 {
-			continue
-		}
-		if first < 0 {
-			first = class
-		}
-		if now-g.served[class] >= g.AgeingMillis && (aged < 0 || g.served[class] < g.served[aged]) {
-			aged = class
-		}
-	}
-	if aged < 0 || aged == first {
-		return first, 0, ReasonQueued
-	}
-	oldest := 0
-	for i, w := range g.queues[aged] {
-		if w.arrived < g.queues[aged][oldest].arrived {
-			oldest = i
-		}
-	}
-	return aged, oldest, ReasonAged
-}
-
-// enqueue adds c to its queue; a full queue refuses c or a call that goes later.
-func (g *Gate) enqueue(now clock.Millis, c Call, actions []Action) []Action {
-	if g.queued() >= g.QueueLength && len(g.queues[c.Class]) > 0 {
-		victim, ok := g.displace(c.Class)
-		if !ok {
-			return append(actions, refuse(c.ID, ReasonFull))
-		}
-		actions = append(actions, refuse(victim, ReasonDisplaced))
-	}
-	q := g.queues[c.Class]
-	if len(q) == 0 {
-		g.served[c.Class] = now
-	}
-	at, _ := slices.BinarySearchFunc(q, c.Deadline, func(w waiting, d clock.Millis) int {
-		// Equal deadlines keep the order of arrival.
-		return cmp.Or(cmp.Compare(w.Deadline, d), -1)
-	})
-	g.queues[c.Class] = slices.Insert(q, at, waiting{Call: c, arrived: now})
-	return actions
-}
-
-// displace removes the last call of the last class that goes after class. A
-// class keeps its only waiting call, so that it reaches its ageing bound.
-func (g *Gate) displace(class model.Class) (ident.RequestID, bool) {
-	for later := classes - 1; later > int(class); later-- {
-		if q := g.queues[later]; len(q) > 1 {
-			victim := q[len(q)-1].ID
-			g.queues[later] = q[:len(q)-1]
-			return victim, true
-		}
-	}
-	return "", false
-}
-
 // start gives c a slot.
 func (g *Gate) start(now clock.Millis, c Call) {
 	if g.running == nil {
-		g.running = make(map[ident.RequestID]model.Class)
-	}
-	g.running[c.ID] = c.Class
-	g.served[c.Class] = now
-	g.others++
-	if c.Class == model.Action {
-		g.others = 0
-	}
-}
-
-// wait returns how long c would wait: the calls ahead of it and the running
-// ones, spread over the slots.
-func (g *Gate) wait(c Call) clock.Millis {
-	limit := g.limit() - g.occupied
-	if limit <= 0 {
-		return 0 // announced slots free themselves; the deadline bounds the wait
-	}
-	// The running calls end one run time apart on average.
-	var work clock.Millis
-	for _, class := range g.running {
-		work += g.expected(class) / clock.Millis(len(g.running))
-	}
-	own := 0
-	for own < len(g.queues[c.Class]) && g.queues[c.Class][own].Deadline <= c.Deadline {
-		own++
+		g.running = make(map[ident.RequestID]Call)
 	}
-	work += clock.Millis(own) * g.expected(c.Class)
-	for class := range model.Class(classes) {
-		work += clock.Millis(g.ahead(class, c.Class, own)) * g.expected(class)
-	}
-	return work / clock.Millis(limit)
+	g.running[c.ID] = c
+	g.queue().started(now, c)
 }
 
-// ahead returns how many waiting calls of class start before a new call of another
-// class that has own calls of its class before it.
-func (g *Gate) ahead(class, of model.Class, own int) int {
-	queued := len(g.queues[class])
-	switch {
-	case class == of:
-		return 0
-	case g.ActionEvery > 1 && of == model.Action && class < of:
-		return min(queued, (own+1)*(g.ActionEvery-1))
-	case g.ActionEvery > 1 && of < model.Action && class == model.Action:
-		return min(queued, own/(g.ActionEvery-1)+1)
-	case class < of:
-		return queued
-	}
-	return 0
-}
-
-// expected returns the expected run time of a class.
-func (g *Gate) expected(class model.Class) clock.Millis {
-	if g.run[class] > 0 {
-		return g.run[class]
+// queue returns the waiting calls under the gate's order.
+func (g *Gate) queue() queue {
+	if g.waiting == nil {
+		if g.Order == ByGoal {
+			g.waiting = &goalQueue{gate: g}
+		} else {
+			g.waiting = &classQueue{gate: g}
+		}
 	}
-	return g.RunMillis
+	return g.waiting
 }
 
 // limit returns the number of calls that may run at the same time.
@@ -440,11 +318,7 @@
 
 // queued returns the number of waiting calls.
 func (g *Gate) queued() int {
-	n := 0
-	for _, q := range g.queues {
-		n += len(q)
-	}
-	return n
+	return g.queue().size()
 }
 
 // holds reports whether a call with that id runs or waits.
@@ -452,14 +326,7 @@
 	if _, ok := g.running[id]; ok {
 		return true
 	}
-	for _, q := range g.queues {
-		for _, w := range q {
-			if w.ID == id {
-				return true
-			}
-		}
-	}
-	return false
+	return g.queue().has(id)
 }
 
 // refuse returns the action that refuses a call.
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/kernel"
@@ -90,7 +91,7 @@
 	}
 	n.wirePath(random)
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
-	n.gateway.Dialect = h.Dialect
+	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	t := &frame.Transport{
 		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
 		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -38,6 +38,7 @@
 		ctx      context.Context
 		view     *view.View
 		route    model.Route
+		arrived  clock.Millis
 		deadline clock.Millis
 		id       string
 		// request is the template of the attempts.
@@ -218,6 +219,9 @@
 	r.Gate, r.Target, r.Attempt = choice.Target.Gate, choice.Target.ID, number
 	left := c.deadline - sent
 	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
+	if r.HasGoal {
+		r.GoalMillis = c.arrived + c.route.GoalMillis - sent
+	}
 	var resp *wire.Response
 	var err error
 	if choice.Target.Node == in.Self && in.Gateway != nil {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 		Limits     Limits
 		// Dialect is what the target speaks.
 		Dialect Dialect
+		// Order is the policy of the gate's queue.
+		Order admit.Order
 		// QueueLength, AgeingMillis, RunMillis and OccupiedMillis configure the
 		// gate; zero means the default.
 		QueueLength    int
@@ -139,6 +142,7 @@
 	orDefault(&g.RunMillis, DefaultRunMillis)
 	orDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
 	g.gate = admit.Gate{
+		Order:       g.Order,
 		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis, ActionEvery: ActionEvery,
 		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
 	}
@@ -148,6 +152,14 @@
 	return g.metrics.open(g.Registry, g.Load)
 }
 
+// Beside reports whether a caller's address is that of the target beside the node,
+// whose running requests make calls of their own.
+func (g *Gateway) Beside(caller netip.Addr) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.target != nil && g.target.host == caller
+}
+
 // Address returns the address of the target, or "" without one.
 func (g *Gateway) Address() string {
 	g.mu.Lock()
@@ -330,6 +342,7 @@
 	if err != nil {
 		resp = &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
 	}
+	resp.Arrived = resp.Verdict != result.NotRun || resp.Reason == reasonUnexecuted
 	ended := g.Clock.Now()
 	return resp, g.end(c, resp, ended, ended-started, keep)
 }
@@ -356,10 +369,14 @@
 		return nil, nil, a.Response
 	}
 	g.calls[r.ID] = c
-	g.apply(now, g.gate.Arrive(now, admit.Call{ID: r.ID, Class: r.Class, Deadline: deadline}))
+	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline}
+	if r.HasGoal {
+		call.Goal = now + r.GoalMillis
+	}
+	g.apply(now, g.gate.Arrive(now, call))
 	if !c.decided {
 		c.wake = make(chan struct{})
-		if deadline < g.tickAt {
+		if g.gate.Next() < g.tickAt {
 			select {
 			case g.earlier <- struct{}{}:
 			default: // Run has not taken the last one yet
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/limit"
@@ -304,16 +305,30 @@
 	if in.Limiter == nil {
 		return true
 	}
-	address, ok := ctx.RemoteAddr().(*net.TCPAddr)
-	if !ok {
-		return true // the listener accepts TCP only
-	}
-	caller := address.AddrPort().Addr().Unmap()
+	caller := callerOf(ctx)
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.Limiter.Allow(now, caller)
 }
 
+// callerOf returns the caller's IP address.
+func callerOf(ctx *fasthttp.RequestCtx) netip.Addr {
+	address, ok := ctx.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{} // the listener accepts TCP only
+	}
+	return address.AddrPort().Addr().Unmap()
+}
+
+// rankOf returns the urgency of a request: first the calls of the target beside the
+// node, which a running request waits for, then the classes in order.
+func (in *Ingress) rankOf(ctx *fasthttp.RequestCtx, r *model.Route) admit.Rank {
+	if in.Gateway != nil && in.Gateway.Beside(callerOf(ctx)) {
+		return admit.InnerRank
+	}
+	return admit.InnerRank + 1 + admit.Rank(r.Class)
+}
+
 // newCall routes a request and copies it. It returns the refusal of a request
 // that cannot be routed.
 func (in *Ingress) newCall(ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
@@ -337,9 +352,10 @@
 	r.Service = in.split.Next(&r)
 	in.mu.Unlock()
 	c := &call{
-		view: v, route: r, deadline: now + timeout, id: in.nextID(),
+		view: v, route: r, arrived: now, deadline: now + timeout, id: in.nextID(),
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
+			Rank: in.rankOf(ctx, &r), HasGoal: r.GoalMillis > 0,
 			Method: string(h.Method()), URI: append([]byte(nil), uri...),
 			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
 			Body:    append([]byte(nil), ctx.Request.Body()...),
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -36,6 +36,11 @@
 		Route      ident.RouteName
 		Class      model.Class
 		Idempotent bool
+		// Rank and GoalMillis are for a gate that orders calls by goal; GoalMillis
+		// is relative and may be negative once HasGoal.
+		Rank       admit.Rank
+		HasGoal    bool
+		GoalMillis clock.Millis
 		// RemainingMillis is relative, because the clocks of nodes differ.
 		RemainingMillis clock.Millis
 		Method          string
@@ -57,6 +62,9 @@
 		// body; 0 otherwise.
 		ContentLength int
 		Load          admit.Load
+		// Arrived says that the attempt got to the target, which may have refused
+		// it.
+		Arrived bool
 	}
 
 	// Void asks a gate never to run an attempt.
@@ -132,7 +140,7 @@
 // valid reports whether every field is within its bounds.
 func (r *Request) valid() bool {
 	return validID(r.ID) && len(r.Target) <= maxIDBytes && len(r.Route) <= maxIDBytes &&
-		r.Attempt >= 1 && r.Attempt <= 2*model.MaxRouteAttempts && r.Class <= model.Browse &&
+		r.Attempt >= 1 && r.Attempt <= 2*model.MaxRouteAttempts && r.Class <= model.Browse && r.Rank <= admit.LastRank &&
 		r.RemainingMillis >= 0 && r.RemainingMillis <= model.MaxTimeoutMillis &&
 		r.Forwardable()
 }
