Tell the calls of running requests by their ids, and count a goal from the first try

Ruled out: processor time (a run without it waits as long), the goal in the configuration (200 ms throughout). Change: a call's id starts with that of the request that makes it, and the gate knows what it runs; a caller that has less time left than others of its route has waited before. Decisions carry wait, run time and load.

--- a/core/view/view.go
+++ b/core/view/view.go
@@ -99,6 +99,13 @@
 	return model.Route{}, false
 }
 
+// HasRoute reports whether the release has a route of that name.
+func (v *View) HasRoute(name ident.RouteName) bool {
+	_, ok := slices.BinarySearchFunc(v.release.Configuration.Rules.Routes, name,
+		func(r model.Route, n ident.RouteName) int { return cmp.Compare(r.Name, n) })
+	return ok
+}
+
 // matches reports whether prefix covers path at a segment boundary.
 func matches(prefix, path string) bool {
 	if !strings.HasPrefix(path, prefix) {
--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -43,6 +43,13 @@
 		Verdict result.Verdict
 		Attempt int
 		Reason  string
+		// Wait is the time in a queue, and Took the time at the target, of a call
+		// that has ended.
+		Wait, Took clock.Millis
+		// Free and Queued are the gate's load that a decision was based on, if
+		// HasLoad.
+		HasLoad      bool
+		Free, Queued int
 	}
 
 	// Sink takes decisions. Record is safe for concurrent use.
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -161,6 +161,11 @@
 	put(f, "Node", d.Node)
 	put(f, "Version", d.Version)
 	put(f, "Attempt", d.Attempt)
+	put(f, "WaitMillis", float64(d.Wait))
+	put(f, "TookMillis", float64(d.Took))
+	if d.HasLoad {
+		f["Free"], f["Queued"] = d.Free, d.Queued
+	}
 	if d.Kind <= Retry && (d.Kind == Retry || d.Verdict != result.MayHaveRun) {
 		f["Verdict"] = d.Verdict.String()
 	}
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -19,6 +19,9 @@
 		// Request is the field that carries the caller's id of a request. If it is
 		// empty, the node's own id is sent in headerRequest.
 		Request string
+		// Parent returns the id of the request that made a call, by the call's own
+		// id; empty for a request of a caller. Nil if ids do not tell.
+		Parent func(id []byte) []byte
 		// Origin is the field that names the service on the machine where a request
 		// began; empty sends none.
 		Origin string
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -35,10 +35,11 @@
 	// call is one request of a caller. It owns its memory.
 	call struct {
 		// ctx ends when the caller closes its connection.
-		ctx      context.Context
-		view     *view.View
-		route    model.Route
-		arrived  clock.Millis
+		ctx   context.Context
+		view  *view.View
+		route model.Route
+		// began is when the caller first tried, as far as it shows.
+		began    clock.Millis
 		deadline clock.Millis
 		id       string
 		// request is the template of the attempts.
@@ -220,7 +221,7 @@
 	left := c.deadline - sent
 	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
 	if r.HasGoal {
-		r.GoalMillis = c.arrived + c.route.GoalMillis - sent
+		r.GoalMillis = c.began + c.route.GoalMillis - sent
 	}
 	var resp *wire.Response
 	var err error
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -41,6 +40,8 @@
 const (
 	reasonNoTarget    = "no target has announced itself"
 	reasonOtherTarget = "request is for another target"
+	// reasonEnded marks the line of a call that has left the gate.
+	reasonEnded = "call ended at the gate"
 )
 
 type (
@@ -95,6 +96,8 @@
 		target *target
 		// calls holds the calls that wait or run.
 		calls map[ident.RequestID]*gateCall
+		// running counts the calls at the gate by their callers' own ids.
+		running map[ident.RequestID]int
 		// fence has a record of every call that got to the gate.
 		fence once.Fence
 		// drained is closed when the drain in progress is complete; nil without
@@ -109,6 +112,7 @@
 	// gateCall is one call at the gate. Gateway.mu guards its fields.
 	gateCall struct {
 		request *wire.Request
+		arrived clock.Millis
 		// action starts or refuses the call once decided is set; it is set once.
 		action  admit.Action
 		decided bool
@@ -149,15 +153,16 @@
 	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords}
 	g.earlier = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
+	g.running = make(map[ident.RequestID]int)
 	return g.metrics.open(g.Registry, g.Load)
 }
 
-// Beside reports whether a caller's address is that of the target beside the node,
-// whose running requests make calls of their own.
-func (g *Gateway) Beside(caller netip.Addr) bool {
+// Runs reports whether the target beside the node runs the request that its caller
+// named id.
+func (g *Gateway) Runs(id ident.RequestID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.target != nil && g.target.host == caller
+	return g.running[id] > 0
 }
 
 // Address returns the address of the target, or "" without one.
@@ -319,7 +324,7 @@
 func (g *Gateway) forward(ctx context.Context, r *wire.Request, keep bool) (*wire.Response, []byte) {
 	now := g.Clock.Now()
 	deadline := now + r.RemainingMillis
-	c := &gateCall{request: r}
+	c := &gateCall{request: r, arrived: now}
 	t, resp, kept := g.arrive(now, deadline, c)
 	if t == nil {
 		return resp, kept
@@ -369,6 +374,9 @@
 		return nil, nil, a.Response
 	}
 	g.calls[r.ID] = c
+	if r.CallerID != "" {
+		g.running[r.CallerID]++
+	}
 	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline}
 	if r.HasGoal {
 		call.Goal = now + r.GoalMillis
@@ -415,7 +423,16 @@
 		g.mu.Lock()
 	}
 	g.fence.Finish(now, id, resp.Verdict, kept)
+	g.Log.Record(logs.Decision{
+		At: now, Kind: logs.Admit, Request: id, Route: c.request.Route, Target: c.request.Target, Node: g.Self,
+		Verdict: resp.Verdict, Attempt: c.request.Attempt, Reason: reasonEnded, Took: took, Wait: now - took - c.arrived,
+	})
 	delete(g.calls, id)
+	if n := g.running[c.request.CallerID]; n > 1 {
+		g.running[c.request.CallerID] = n - 1
+	} else {
+		delete(g.running, c.request.CallerID)
+	}
 	if c.ended != nil {
 		close(c.ended)
 	}
@@ -505,9 +522,11 @@
 
 // record writes a line to the decision log.
 func (g *Gateway) record(now clock.Millis, r *wire.Request, v result.Verdict, reason string) {
+	load := g.gate.Load()
 	g.Log.Record(logs.Decision{
 		At: now, Kind: logs.Admit, Request: r.ID, Route: r.Route, Target: r.Target,
 		Node: g.Self, Verdict: v, Attempt: r.Attempt, Reason: reason,
+		HasLoad: true, Free: load.Free, Queued: load.Queued,
 	})
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -123,11 +123,13 @@
 		// group holds hedges and stores of outcomes, which outlive their handler.
 		group conc.WaitGroup
 
-		// mu guards Picker, Policy, split and events; it is never held while
-		// waiting.
-		mu     sync.Mutex
-		split  route.Split
-		events []route.Event
+		// mu guards Picker, Policy, split, patience and events; it is never held
+		// while waiting.
+		mu    sync.Mutex
+		split route.Split
+		// patience is kept by route.
+		patience admit.Patience[ident.RouteName]
+		events   []route.Event
 	}
 )
 
@@ -198,6 +200,7 @@
 	in.mu.Lock()
 	in.Picker.SetView(in.Clock.Now(), v)
 	in.split.Keep(v.Release().Configuration.Rules.Routes)
+	in.patience.Keep(v.HasRoute)
 	in.mu.Unlock()
 	in.view.Store(v)
 }
@@ -320,11 +323,13 @@
 	return address.AddrPort().Addr().Unmap()
 }
 
-// rankOf returns the urgency of a request: first the calls of the target beside the
-// node, which a running request waits for, then the classes in order.
-func (in *Ingress) rankOf(ctx *fasthttp.RequestCtx, r *model.Route) admit.Rank {
-	if in.Gateway != nil && in.Gateway.Beside(callerOf(ctx)) {
-		return admit.InnerRank
+// rankOf returns the urgency of a request: first the calls that a request running at
+// the target beside the node makes and waits for, then the classes in order.
+func (in *Ingress) rankOf(id []byte, r *model.Route) admit.Rank {
+	if in.Gateway != nil && in.Dialect.Parent != nil {
+		if parent := in.Dialect.Parent(id); len(parent) > 0 && in.Gateway.Runs(ident.RequestID(parent)) {
+			return admit.InnerRank
+		}
 	}
 	return admit.InnerRank + 1 + admit.Rank(r.Class)
 }
@@ -340,32 +345,38 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	timeout, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), r.TimeoutMillis)
+	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), model.MaxTimeoutMillis)
 	if !ok {
 		return nil, notRun(reasonTimeout)
 	}
+	timeout := min(left, r.TimeoutMillis)
 	if len(ctx.Request.Header.Peek(headerKey)) > maxKeyBytes {
 		return nil, notRun(reasonKeyLength)
 	}
 	h := &ctx.Request.Header
 	in.mu.Lock()
 	r.Service = in.split.Next(&r)
+	waited := in.patience.Waited(now, r.Name, left)
 	in.mu.Unlock()
 	c := &call{
-		view: v, route: r, arrived: now, deadline: now + timeout, id: in.nextID(),
+		view: v, route: r, began: now - waited, deadline: now + timeout, id: in.nextID(),
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
-			Rank: in.rankOf(ctx, &r), HasGoal: r.GoalMillis > 0,
-			Method: string(h.Method()), URI: append([]byte(nil), uri...),
+			HasGoal: r.GoalMillis > 0,
+			Method:  string(h.Method()), URI: append([]byte(nil), uri...),
 			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
 			Body:    append([]byte(nil), ctx.Request.Body()...),
 		},
 	}
+	var id []byte
 	if in.Dialect.Request != "" {
-		if id := h.Peek(in.Dialect.Request); len(id) > 0 && len(id) <= maxCallerIDBytes {
-			c.id = string(id) + "." + c.id
-		}
+		id = h.Peek(in.Dialect.Request)
+	}
+	if len(id) > 0 && len(id) <= maxCallerIDBytes {
+		c.id = string(id) + "." + c.id
+		c.request.CallerID = ident.RequestID(id)
 	}
+	c.request.Rank = in.rankOf(id, &r)
 	if in.Dialect.Origin != "" {
 		c.request.Headers.Append([]byte(in.Dialect.Origin), []byte(in.Service))
 	}
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/netip"
 	"strconv"
 	"syscall"
 	"time"
@@ -51,8 +50,6 @@
 	target struct {
 		id      ident.TargetID
 		address string
-		// host is the IP address in address; invalid if it has none.
-		host    netip.Addr
 		limits  Limits
 		dialect *Dialect
 		client  *fasthttp.HostClient
@@ -91,9 +88,6 @@
 // newTarget returns the client of the target at address.
 func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits, d *Dialect) *target {
 	t := &target{id: id, address: address, limits: limits, dialect: d}
-	if a, err := netip.ParseAddrPort(address); err == nil {
-		t.host = a.Addr().Unmap()
-	}
 	t.client = &fasthttp.HostClient{
 		Addr:        address,
 		DialTimeout: dialTarget,
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -27,6 +27,8 @@
 		_ struct{} `cbor:",toarray"`
 		// ID is unique per attempt, so that a void record covers one attempt.
 		ID ident.RequestID
+		// CallerID is the caller's own id of the request; empty if it has none.
+		CallerID ident.RequestID
 		// Gate is the life of the gate that the attempt is addressed to.
 		Gate ident.Incarnation
 		// Target is the target that the ingress chose.
@@ -139,7 +141,7 @@
 
 // valid reports whether every field is within its bounds.
 func (r *Request) valid() bool {
-	return validID(r.ID) && len(r.Target) <= maxIDBytes && len(r.Route) <= maxIDBytes &&
+	return validID(r.ID) && len(r.Target) <= maxIDBytes && len(r.Route) <= maxIDBytes && len(r.CallerID) <= maxIDBytes &&
 		r.Attempt >= 1 && r.Attempt <= 2*model.MaxRouteAttempts && r.Class <= model.Browse && r.Rank <= admit.LastRank &&
 		r.RemainingMillis >= 0 && r.RemainingMillis <= model.MaxTimeoutMillis &&
 		r.Forwardable()
