Bound repeated arrivals at each service by a share at every node

The token bucket knew neither services nor the window, and its burst counted once for each of 17 nodes. Refusals by gates reach no target and cost nothing; calls of repeated requests count.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -15,6 +15,9 @@
 	DefaultBaseMillis clock.Millis = 4
 	// DefaultMaxMillis bounds a back-off.
 	DefaultMaxMillis clock.Millis = 250
+	// maxRefusals bounds the attempts of a call that gates refused. Each costs a
+	// way to a node but no work of a target.
+	maxRefusals = 3
 	// DefaultLeastMillis is the time that an attempt needs at least.
 	DefaultLeastMillis clock.Millis = 1
 )
@@ -53,6 +56,8 @@
 		Route model.Route
 		// Sent counts the attempts so far, hedges included.
 		Sent int
+		// Arrivals counts the attempts that got to a target, or may have.
+		Arrivals int
 		// Outstanding counts the attempts without an outcome.
 		Outstanding int
 		// Uncertain says that an earlier attempt's verdict was MayHaveRun.
@@ -77,8 +82,12 @@
 
 	// Policy decides on retries and hedges. It is not safe for concurrent use.
 	Policy struct {
-		// Budget bounds the extra attempts of all calls; required.
+		// Budget bounds the extra attempts of all calls; required unless there is a
+		// Share.
 		Budget *Budget
+		// Share, if set, bounds the repeated arrivals at targets instead. Attempts
+		// that a gate refused are then free, up to maxRefusals for each call.
+		Share *Share
 		// Rand spreads the back-off; required.
 		Rand *rand.Rand
 		// MaxAttempts bounds the attempts of a call together with its route; 0
@@ -140,19 +149,53 @@
 
 // again returns a retry for a price if attempts, time and budget allow one.
 func (p *Policy) again(now clock.Millis, a Attempt, tokens float64, reason string) Decision {
-	if a.Sent >= p.attempts(a.Route) {
+	if p.used(a) {
 		return finish(a, ReasonAttempts)
 	}
 	at := now + p.backOff(a.Sent)
+	if p.Share != nil && a.Arrivals == 0 {
+		at = now // another gate may be free, and no target has been burdened
+	}
 	if at+orDefault(p.LeastMillis, DefaultLeastMillis) > a.Deadline {
 		return finish(a, ReasonDeadline)
 	}
-	if !p.Budget.Take(now, tokens) {
+	if !p.take(now, a, tokens) {
 		return finish(a, ReasonBudget)
 	}
 	return Decision{Kind: Retry, At: at, Reason: reason}
 }
 
+// used reports whether a call has no attempt left.
+func (p *Policy) used(a Attempt) bool {
+	if p.Share == nil {
+		return a.Sent >= p.attempts(a.Route)
+	}
+	return a.Arrivals >= p.attempts(a.Route) || a.Sent-a.Arrivals >= maxRefusals
+}
+
+// take pays for another attempt.
+func (p *Policy) take(now clock.Millis, a Attempt, tokens float64) bool {
+	switch {
+	case p.Share == nil:
+		return p.Budget.Take(now, tokens)
+	case a.Arrivals == 0:
+		return true
+	}
+	return p.Share.Take(now, a.Route.Service)
+}
+
+// Begin counts a call that begins; repeated says that a repeated request makes it.
+func (p *Policy) Begin(now clock.Millis, r model.Route, repeated bool) {
+	if p.Share == nil {
+		p.Budget.Call(now)
+		return
+	}
+	p.Share.Request(now, r.Service)
+	if repeated {
+		p.Share.Spend(now, r.Service)
+	}
+}
+
 // finish ends a call without an answer.
 func finish(a Attempt, reason string) Decision {
 	v := result.NotRun
@@ -189,12 +232,20 @@
 		return Decision{Kind: Wait, Reason: ReasonAttempts}
 	case now+orDefault(p.LeastMillis, DefaultLeastMillis) > a.Deadline:
 		return Decision{Kind: Wait, Reason: ReasonDeadline}
-	case !p.Budget.Take(now, hedgeTokens):
+	case !p.takeHedge(now, a):
 		return Decision{Kind: Wait, Reason: ReasonBudget}
 	}
 	return Decision{Kind: Hedge, At: now, Reason: ReasonSlow}
 }
 
+// takeHedge pays for a hedge, which is a repeated arrival.
+func (p *Policy) takeHedge(now clock.Millis, a Attempt) bool {
+	if p.Share != nil {
+		return p.Share.Take(now, a.Route.Service)
+	}
+	return p.Budget.Take(now, hedgeTokens)
+}
+
 // hedged reports whether a route allows hedges.
 func hedged(r model.Route) bool {
 	return r.Idempotent && r.Class == model.Check && r.HedgeAfterMillis >= 0
--- a/io/bench/path.go
+++ b/io/bench/path.go
@@ -254,7 +254,7 @@
 	}
 	f.ingress.SetView(view.Build(release, []member.Record{{
 		Node: "target", Service: "shop", Target: "t", TargetState: member.Ready, GateIncarnation: 1, PeerAddress: address,
-	}}))
+	}}), 1)
 	f.group.Go(func() { _ = f.ingress.Run(ctx) })
 	return nil
 }
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -34,9 +34,12 @@
 
 		PlatformURL string
 		// Platform says which protocol the platform speaks.
-		Platform     Platform
-		Seeds        []Seed
-		KeyDirectory string
+		Platform Platform
+		// PlatformBounds are the platform's own bounds, as the package platform
+		// reads them.
+		PlatformBounds []string
+		Seeds          []Seed
+		KeyDirectory   string
 
 		Limits Limits
 		Spread Spread
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -86,6 +86,14 @@
 	text("Platform", string(PlatformObjects), "objects or rows", "Protocol of the platform: objects is that of docs/platform.md, rows that of the package platform.",
 		func(v string) bool { return v == string(PlatformObjects) || v == string(PlatformRows) },
 		func(s *Settings) *Platform { return &s.Platform }),
+	{
+		Key: "PlatformBounds", Kind: List, Allowed: `entries "name=value"`,
+		Help: "Bounds of the platform, for the package platform.",
+		set: func(s *Settings, v value) bool {
+			s.PlatformBounds = v.list
+			return true
+		},
+	},
 	{
 		Key: "Seeds", Kind: List, Allowed: `entries "NodeID@IP:port"`,
 		Help: "Members that the node contacts first; empty only for the first node of a fleet.", set: setSeeds,
--- a/io/node/fixture_test.go
+++ b/io/node/fixture_test.go
@@ -23,6 +23,7 @@
 	"hickoryrail/io/conf"
 	"hickoryrail/io/keys"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/peer"
 	"hickoryrail/io/stub"
 	"hickoryrail/io/target"
 	"hickoryrail/io/wire"
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -259,7 +259,7 @@
 		return
 	}
 	f.stale, f.seen = false, f.table.Sequence()
-	f.ingress.SetView(view.Build(f.inForce, f.table.Records()))
+	f.ingress.SetView(view.Build(f.inForce, f.table.Records()), f.table.Size())
 }
 
 // changed logs a change of a member's state.
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -12,6 +12,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/kernel"
 	"hickoryrail/core/member"
+	"hickoryrail/core/retry"
 	"hickoryrail/core/spread"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
@@ -39,7 +40,9 @@
 	// Hosted is what an adapter provides for a node on a platform with protocols
 	// of its own.
 	Hosted struct {
-		Settings  conf.Settings
+		Settings conf.Settings
+		// Retries bounds the repeated arrivals at targets over all nodes.
+		Retries   retry.Share
 		Dialect   proxy.Dialect
 		Source    plat.Source
 		Directory plat.Directory
@@ -91,6 +94,7 @@
 	}
 	n.wirePath(random)
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
+	n.ingress.Policy = &retry.Policy{Share: &h.Retries, Rand: fork(random)}
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	t := &frame.Transport{
 		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -42,6 +42,8 @@
 		began    clock.Millis
 		deadline clock.Millis
 		id       string
+		// repeated says that a request which was sent again makes the call.
+		repeated bool
 		// request is the template of the attempts.
 		request wire.Request
 
@@ -69,7 +71,7 @@
 	c.state = retry.Attempt{Route: c.route, Deadline: c.deadline}
 	now := in.Clock.Now()
 	in.mu.Lock()
-	in.Policy.Budget.Call(now)
+	in.Policy.Begin(now, c.route, c.repeated)
 	in.mu.Unlock()
 	for {
 		choice, ok := in.pick(c)
@@ -119,6 +121,9 @@
 func (in *Ingress) decide(c *call, resp *wire.Response) retry.Decision {
 	now := in.Clock.Now()
 	c.state.End(resp.Verdict)
+	if resp.Arrived || resp.Verdict != result.NotRun {
+		c.state.Arrivals++
+	}
 	in.mu.Lock()
 	d := in.Policy.Decide(now, c.state, resp.Verdict)
 	in.mu.Unlock()
@@ -217,6 +222,7 @@
 	sent := in.Clock.Now()
 	r := c.request
 	r.ID = ident.RequestID(c.id + "-" + strconv.Itoa(number))
+	r.Repeated = c.repeated || c.state.Arrivals > 0
 	r.Gate, r.Target, r.Attempt = choice.Target.Gate, choice.Target.ID, number
 	left := c.deadline - sent
 	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -96,8 +96,8 @@
 		target *target
 		// calls holds the calls that wait or run.
 		calls map[ident.RequestID]*gateCall
-		// running counts the calls at the gate by their callers' own ids.
-		running map[ident.RequestID]int
+		// running holds the calls at the gate by their callers' own ids.
+		running map[ident.RequestID]*gateCall
 		// fence has a record of every call that got to the gate.
 		fence once.Fence
 		// drained is closed when the drain in progress is complete; nil without
@@ -153,16 +153,17 @@
 	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords}
 	g.earlier = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
-	g.running = make(map[ident.RequestID]int)
+	g.running = make(map[ident.RequestID]*gateCall)
 	return g.metrics.open(g.Registry, g.Load)
 }
 
 // Runs reports whether the target beside the node runs the request that its caller
-// named id.
-func (g *Gateway) Runs(id ident.RequestID) bool {
+// named id, and whether that one was sent again.
+func (g *Gateway) Runs(id ident.RequestID) (running, repeated bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running[id] > 0
+	c := g.running[id]
+	return c != nil, c != nil && c.request.Repeated
 }
 
 // Address returns the address of the target, or "" without one.
@@ -375,7 +376,7 @@
 	}
 	g.calls[r.ID] = c
 	if r.CallerID != "" {
-		g.running[r.CallerID]++
+		g.running[r.CallerID] = c
 	}
 	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline}
 	if r.HasGoal {
@@ -428,9 +429,7 @@
 		Verdict: resp.Verdict, Attempt: c.request.Attempt, Reason: reasonEnded, Took: took, Wait: now - took - c.arrived,
 	})
 	delete(g.calls, id)
-	if n := g.running[c.request.CallerID]; n > 1 {
-		g.running[c.request.CallerID] = n - 1
-	} else {
+	if g.running[c.request.CallerID] == c {
 		delete(g.running, c.request.CallerID)
 	}
 	if c.ended != nil {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -195,9 +195,12 @@
 	return in.listener.Addr().String()
 }
 
-// SetView puts a view in force for new requests.
-func (in *Ingress) SetView(v *view.View) {
+// SetView puts a view in force for new requests; nodes is the number of live nodes.
+func (in *Ingress) SetView(v *view.View, nodes int) {
 	in.mu.Lock()
+	if in.Policy.Share != nil {
+		in.Policy.Share.Nodes = nodes
+	}
 	in.Picker.SetView(in.Clock.Now(), v)
 	in.split.Keep(v.Release().Configuration.Rules.Routes)
 	in.patience.Keep(v.HasRoute)
@@ -325,13 +328,15 @@
 
 // rankOf returns the urgency of a request: first the calls that a request running at
 // the target beside the node makes and waits for, then the classes in order.
-func (in *Ingress) rankOf(id []byte, r *model.Route) admit.Rank {
+// The second result says that the request that makes the call was sent again.
+func (in *Ingress) rankOf(id []byte, r *model.Route) (admit.Rank, bool) {
 	if in.Gateway != nil && in.Dialect.Parent != nil {
-		if parent := in.Dialect.Parent(id); len(parent) > 0 && in.Gateway.Runs(ident.RequestID(parent)) {
-			return admit.InnerRank
+		running, repeated := in.Gateway.Runs(ident.RequestID(in.Dialect.Parent(id)))
+		if running {
+			return admit.InnerRank, repeated
 		}
 	}
-	return admit.InnerRank + 1 + admit.Rank(r.Class)
+	return admit.InnerRank + 1 + admit.Rank(r.Class), false
 }
 
 // newCall routes a request and copies it. It returns the refusal of a request
@@ -376,7 +381,7 @@
 		c.id = string(id) + "." + c.id
 		c.request.CallerID = ident.RequestID(id)
 	}
-	c.request.Rank = in.rankOf(id, &r)
+	c.request.Rank, c.repeated = in.rankOf(id, &r)
 	if in.Dialect.Origin != "" {
 		c.request.Headers.Append([]byte(in.Dialect.Origin), []byte(in.Service))
 	}
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -195,7 +195,7 @@
 	if err := in.Open(); err != nil {
 		t.Fatal(err)
 	}
-	in.SetView(f.view)
+	in.SetView(f.view, 1)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -34,7 +34,10 @@
 		// Target is the target that the ingress chose.
 		Target ident.TargetID
 		// Attempt counts from 1.
-		Attempt    int
+		Attempt int
+		// Repeated says that an earlier attempt may have got to a target, or that
+		// a request which was repeated makes this call.
+		Repeated   bool
 		Route      ident.RouteName
 		Class      model.Class
 		Idempotent bool
