Consider two near targets for each choice

Change: the best of a random pair is compared with the best of a pair in the own failure domain; a far target's score counts double.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -62,6 +62,9 @@
 		DomainFactor float64
 		// RegionFactor multiplies the score of a target in another region.
 		RegionFactor float64
+		// LocalPair adds two candidates of the own failure domain to the two
+		// random ones.
+		LocalPair bool
 	}
 
 	// Picker chooses targets by power of two choices over a bounded subset. It
@@ -235,16 +238,53 @@
 	case 1:
 		return open[0].choose(now, ReasonOnly), true
 	}
+	i, j := p.pair(n)
+	best, reason := p.better(now, g, open[i], open[j])
+	if p.Limits.LocalPair {
+		best, reason = p.local(now, g, open[:n], best, reason)
+	}
+	return best.choose(now, reason), true
+}
+
+// pair returns two different numbers below n, which is at least 2.
+func (p *Picker) pair(n int) (int, int) {
 	i := p.Rand.IntN(n)
 	j := p.Rand.IntN(n - 1)
 	if j >= i {
 		j++
 	}
-	return p.better(now, g, open[i], open[j]), true
+	return i, j
+}
+
+// local compares the best of a random pair of all candidates with that of a random
+// pair of the own failure domain, so that a near candidate is always considered.
+func (p *Picker) local(now clock.Millis, g *group, open []*evidence, best *evidence, reason string) (*evidence, string) {
+	var near [MaxSubset]*evidence
+	n := 0
+	for _, e := range open {
+		if e.target.FailureDomain == p.FailureDomain {
+			near[n] = e
+			n++
+		}
+	}
+	var other *evidence
+	switch {
+	case n == 0 || reason == ReasonStale:
+		return best, reason
+	case n == 1:
+		other = near[0]
+	default:
+		i, j := p.pair(n)
+		other, _ = p.better(now, g, near[i], near[j])
+	}
+	if other == best {
+		return best, reason
+	}
+	return p.better(now, g, best, other)
 }
 
-// better returns the choice between two candidates.
-func (p *Picker) better(now clock.Millis, g *group, a, b *evidence) Choice {
+// better returns the better one of two candidates and why.
+func (p *Picker) better(now clock.Millis, g *group, a, b *evidence) (*evidence, string) {
 	wa, wb := p.share(now, a), p.share(now, b)
 	if wa < 1 || wb < 1 {
 		// A share below 1 is the chance to take part in the comparison, so that
@@ -252,25 +292,25 @@
 		inA, inB := p.Rand.Float64() < wa, p.Rand.Float64() < wb
 		switch {
 		case inA && !inB:
-			return a.choose(now, ReasonSlowStart)
+			return a, ReasonSlowStart
 		case inB && !inA:
-			return b.choose(now, ReasonSlowStart)
+			return b, ReasonSlowStart
 		}
 	}
 	if staleA, staleB := p.stale(now, a), p.stale(now, b); staleA != staleB {
 		if staleA {
-			return a.choose(now, ReasonStale)
+			return a, ReasonStale
 		}
-		return b.choose(now, ReasonStale)
+		return b, ReasonStale
 	}
 	sa, sb := p.score(now, g, a), p.score(now, g, b)
 	if sb*b.factor < sa*a.factor {
 		a, b, sa, sb = b, a, sb, sa
 	}
 	if sa > sb {
-		return a.choose(now, ReasonDomain)
+		return a, ReasonDomain
 	}
-	return a.choose(now, ReasonScore)
+	return a, ReasonScore
 }
 
 // Done ends a call and takes its outcome as evidence. A target without calls in
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -13,6 +13,7 @@
 	"hickoryrail/core/kernel"
 	"hickoryrail/core/member"
 	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
 	"hickoryrail/core/spread"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
@@ -31,6 +32,9 @@
 	// gone. A report may arrive seconds late; a target that ends without a word
 	// is noticed by the requests to it.
 	hostedRenewalMillis = 8 * clock.Second
+	// hostedDomainFactor is the DomainFactor of the picker: bytes between failure
+	// domains are paid for.
+	hostedDomainFactor = 2
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
 	gateMillis = 1 * clock.Second
@@ -95,6 +99,7 @@
 	n.wirePath(random)
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
 	n.ingress.Policy = &retry.Policy{Share: &h.Retries, Rand: fork(random)}
+	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	t := &frame.Transport{
 		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
