--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -34,7 +34,7 @@
 	hostedRenewalMillis = 8 * clock.Second
 	// hostedDomainFactor is the DomainFactor of the picker: bytes between failure
 	// domains are paid for.
-	hostedDomainFactor = 2
+	hostedDomainFactor = 3
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
 	gateMillis = 1 * clock.Second
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -19,6 +19,10 @@
 	// watchLeast and watchMost bound the pause after a failed call to the source.
 	watchLeast = 100 * clock.Millis(1)
 	watchMost  = 1 * clock.Second
+	// settleMillis is the pause after a release, so that one call brings the
+	// releases of a quick succession. It is well below the time in which a release
+	// must be in force.
+	settleMillis = 700 * clock.Millis(1)
 	// readMillis bounds a read of the source and a call to the directory.
 	readMillis = 2 * clock.Second
 	// lonelyMillis is the interval at which a node that knows no other reads the
@@ -105,6 +109,9 @@
 	}
 	w.answered()
 	w.take(r)
+	if r.Version > 0 {
+		sleep(ctx, settleMillis.Duration())
+	}
 	return max(revision, after), true
 }
 
