Try several seeds at once after a start

Change: for 3 s after a list of seeds, eight lost seeds are asked every 200 ms. A test with 24 nodes that start together failed before.

--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -195,6 +195,10 @@
 // trySeed probes a seed that is not a live member. A node without members asks it
 // for all records, and does so more often.
 func (t *Table) trySeed(now clock.Millis) []Action {
+	if now < t.joinUntil {
+		t.nextSeed = now + joinIntervalMillis
+		return t.trySeeds()
+	}
 	kind, interval := Probe, t.config.RetryMillis
 	if len(t.rings.successors) == 0 {
 		kind, interval = Sync, t.config.JoinMillis
@@ -210,6 +214,15 @@
 // lostSeed returns a random seed that is not a live member. Live ones need no
 // try, and a connection to a node that is no neighbour costs a handshake.
 func (t *Table) lostSeed() (Seed, bool) {
+	lost := t.lostSeeds()
+	if len(lost) == 0 {
+		return Seed{}, false
+	}
+	return lost[t.random.IntN(len(lost))], true
+}
+
+// lostSeeds returns the seeds that are not live members.
+func (t *Table) lostSeeds() []Seed {
 	var lost []Seed
 	for _, s := range t.config.Seeds {
 		m := t.members[s.Node]
@@ -217,10 +230,7 @@
 			lost = append(lost, s)
 		}
 	}
-	if len(lost) == 0 {
-		return Seed{}, false
-	}
-	return lost[t.random.IntN(len(lost))], true
+	return lost
 }
 
 // jitter returns d plus or minus a quarter.
--- /dev/null
+++ b/core/member/seed_test.go
@@ -0,0 +1,67 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+// TestStartTogether guards against a slow start of nodes that lost everything at
+// the same moment: each knows the others by a directory only, with one entry in
+// four of a node that is gone, and within a second all must know each other.
+func TestStartTogether(t *testing.T) {
+	is := is.New(t)
+	const nodes = 24
+	tables := make(map[ident.NodeID]*Table)
+	var seeds []Seed
+	for i := range nodes + nodes/4 {
+		id := ident.NodeID(fmt.Sprintf("n%02d", i))
+		seeds = append(seeds, Seed{Node: id, Address: string(id)})
+		if i < nodes {
+			self := Record{Node: id, Incarnation: 1, PeerAddress: string(id), FailureDomain: "d", Region: "r"}
+			tables[id] = New(self, DefaultConfig(), rand.New(rand.NewPCG(uint64(i), 7)))
+		}
+	}
+	type letter struct {
+		from ident.NodeID
+		Action
+	}
+	var post []letter
+	send := func(from ident.NodeID, actions []Action) {
+		for _, a := range actions {
+			post = append(post, letter{from, a})
+		}
+	}
+	started := func(id ident.NodeID) clock.Millis { return clock.Millis(hashesOf(id)[0] % 300) }
+	known := func() int {
+		least := nodes
+		for _, table := range tables {
+			least = min(least, table.Size())
+		}
+		return least
+	}
+	now := clock.Millis(0)
+	for ; now <= 300+clock.Second && known() < nodes; now += 50 {
+		arrived := post
+		post = nil
+		for _, l := range arrived {
+			if to := tables[l.To]; to != nil && started(l.To) <= now {
+				send(l.To, to.Receive(now, l.from, l.Message))
+			}
+		}
+		for id, table := range tables {
+			if at := started(id); at <= now {
+				if at > now-50 {
+					table.AddSeeds(now, seeds)
+				}
+				send(id, table.Tick(now))
+			}
+		}
+	}
+	is.Equal(known(), nodes)
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -47,12 +47,14 @@
 		// probes holds the probes without an answer, one per neighbour.
 		probes map[ident.NodeID]*probe
 		// relays holds the probes sent for others, by their sequence.
-		relays     map[uint64]relay
-		lastProbe  uint64
-		nextProbe  [ringCount]clock.Millis
-		lastTick   clock.Millis
-		nextRetry  clock.Millis
-		nextSeed   clock.Millis
+		relays    map[uint64]relay
+		lastProbe uint64
+		nextProbe [ringCount]clock.Millis
+		lastTick  clock.Millis
+		nextRetry clock.Millis
+		nextSeed  clock.Millis
+		// joinUntil is the end of the time in which several seeds are tried at once.
+		joinUntil  clock.Millis
 		nextSync   clock.Millis
 		nextNotice clock.Millis
 		// noticeDue is set while neighbours have not been told of a change of the
