Send idempotent requests again whose target failed

Change: the retry policy repeats one within the shared bound if half of its goal is left; the first answer stands if no later one is better.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -18,6 +18,9 @@
 	// maxRefusals bounds the attempts of a call that gates refused. Each costs a
 	// way to a node but no work of a target.
 	maxRefusals = 3
+	// failureShare is the part of the goal that must be left for another attempt
+	// after a failure.
+	failureShare = 0.5
 	// DefaultLeastMillis is the time that an attempt needs at least.
 	DefaultLeastMillis clock.Millis = 1
 )
@@ -45,6 +48,7 @@
 	ReasonOutstanding = "another attempt is outstanding"
 	ReasonSlow        = "attempt is slower than expected"
 	ReasonNoHedge     = "route allows no hedge"
+	ReasonFailed      = "target answered with a failure"
 )
 
 type (
@@ -88,6 +92,9 @@
 		// Share, if set, bounds the repeated arrivals at targets instead. Attempts
 		// that a gate refused are then free, up to maxRefusals for each call.
 		Share *Share
+		// RetryFailures sends an idempotent request again whose target answered with
+		// a failure, if there is time to answer it well.
+		RetryFailures bool
 		// Rand spreads the back-off; required.
 		Rand *rand.Rand
 		// MaxAttempts bounds the attempts of a call together with its route; 0
@@ -147,6 +154,23 @@
 	return p.again(now, a, repeatTokens, ReasonIdempotent)
 }
 
+// AfterFailure returns what follows from an answer that reports a failure of the
+// target. The caller of a request that ends has that answer.
+func (p *Policy) AfterFailure(now clock.Millis, a Attempt) Decision {
+	answered := Decision{Kind: Finish, Verdict: result.Ran, Reason: ReasonAnswered}
+	if !p.RetryFailures || !a.Route.Idempotent || a.Outstanding > 0 {
+		return answered
+	}
+	if a.Deadline-now < a.Route.GoalMillis*failureShare {
+		return answered
+	}
+	d := p.again(now, a, repeatTokens, ReasonFailed)
+	if d.Kind != Retry {
+		return answered
+	}
+	return d
+}
+
 // again returns a retry for a price if attempts, time and budget allow one.
 func (p *Policy) again(now clock.Millis, a Attempt, tokens float64, reason string) Decision {
 	if p.used(a) {
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -98,7 +98,7 @@
 	}
 	n.wirePath(random)
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
-	n.ingress.Policy = &retry.Policy{Share: &h.Retries, Rand: fork(random)}
+	n.ingress.Policy = &retry.Policy{Share: &h.Retries, RetryFailures: true, Rand: fork(random)}
 	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	t := &frame.Transport{
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -23,6 +23,9 @@
 	hopMillis = 2 * clock.Millis(1)
 	// hopShare bounds hopMillis as a share of the remaining time.
 	hopShare = 0.1
+	// failureStatus is the least status of an answer that reports a failure of the
+	// target.
+	failureStatus = 500
 )
 
 // Reasons of an attempt.
@@ -68,6 +71,9 @@
 
 // forward makes attempts until the policy ends the call.
 func (in *Ingress) forward(c *call) *wire.Response {
+	// failure is an answer of a target that reports a failure; it is better than
+	// none if later attempts bring none.
+	var failure *wire.Response
 	c.state = retry.Attempt{Route: c.route, Deadline: c.deadline}
 	now := in.Clock.Now()
 	in.mu.Lock()
@@ -75,6 +81,9 @@
 	in.mu.Unlock()
 	for {
 		choice, ok := in.pick(c)
+		if !ok && failure != nil {
+			return failure
+		}
 		if !ok {
 			v := result.NotRun
 			if c.state.Uncertain {
@@ -84,6 +93,12 @@
 		}
 		resp := in.try(c, choice)
 		d := in.decide(c, resp)
+		if resp.Verdict == result.Ran && resp.Status >= failureStatus {
+			failure = resp
+		}
+		if d.Kind != retry.Retry && failure != nil && resp.Verdict != result.Ran {
+			return failure
+		}
 		if d.Kind != retry.Retry {
 			if resp.Verdict != result.Ran {
 				resp = &wire.Response{Verdict: d.Verdict, Reason: resp.Reason, Load: resp.Load}
@@ -125,9 +140,14 @@
 		c.state.Arrivals++
 	}
 	in.mu.Lock()
-	d := in.Policy.Decide(now, c.state, resp.Verdict)
+	var d retry.Decision
+	if resp.Verdict == result.Ran && resp.Status >= failureStatus {
+		d = in.Policy.AfterFailure(now, c.state)
+	} else {
+		d = in.Policy.Decide(now, c.state, resp.Verdict)
+	}
 	in.mu.Unlock()
-	if resp.Verdict != result.Ran {
+	if resp.Verdict != result.Ran || d.Kind == retry.Retry {
 		in.record(logs.Retry, now, c, c.state.Sent, "", resp.Verdict, d.Reason)
 	}
 	return d
@@ -313,7 +333,7 @@
 func failedAtTarget(resp *wire.Response) bool {
 	switch resp.Verdict {
 	case result.Ran:
-		return resp.Status >= 500
+		return resp.Status >= failureStatus
 	case result.NotRun:
 		return resp.Reason == reasonNoConnection || resp.Reason == reasonNoBytes
 	}
