Ask the target beside a node that starts who it is

Change: the node asks the target's health check for its id and slots; the target's own reports take over.

--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -129,6 +129,9 @@
 		f.put(serviceKind, string(s.Name), existence, string(s.Name))
 		f.put(serviceKind, string(s.Name), "Slots", strconv.Itoa(int(s.Slots)))
 		f.put(serviceKind, string(s.Name), "Connections", strconv.Itoa(int(s.Connections)))
+		if s.HealthPath != "" {
+			f.put(serviceKind, string(s.Name), "HealthPath", s.HealthPath)
+		}
 		if s.TargetSlots {
 			f.put(serviceKind, string(s.Name), "TargetSlots", strconv.FormatBool(true))
 		}
@@ -219,7 +222,7 @@
 	}
 	c.Inventory.Services = append(c.Inventory.Services, Service{
 		Name: ident.ServiceName(name), Slots: ident.Slots(slots), Connections: ident.Connections(connections),
-		TargetSlots: f[element+"/TargetSlots"] == "true",
+		TargetSlots: f[element+"/TargetSlots"] == "true", HealthPath: f[element+"/HealthPath"],
 	})
 	return nil
 }
--- a/core/model/inventory.go
+++ b/core/model/inventory.go
@@ -43,6 +43,9 @@
 		// TargetSlots says that each target announces its own slots; Slots is then
 		// 0.
 		TargetSlots bool `cbor:",omitempty"`
+		// HealthPath is the path of the targets' health checks; empty if they have
+		// none.
+		HealthPath string `cbor:",omitempty"`
 	}
 
 	// Part is one service of a split route with its share of the requests.
--- a/core/model/validate.go
+++ b/core/model/validate.go
@@ -107,6 +107,7 @@
 		} else {
 			k.require(s.Slots >= 1 && s.Slots <= maxSlots, field+"/Slots", strconv.Itoa(int(s.Slots)), "1 to 100000")
 		}
+		k.require(s.HealthPath == "" || strings.HasPrefix(s.HealthPath, "/"), field+"/HealthPath", s.HealthPath, "a path that starts with '/'")
 		k.require(int(s.Connections) >= int(s.Slots) && s.Connections <= maxSlots,
 			field+"/Connections", strconv.Itoa(int(s.Connections)), "at least Slots, at most 100000")
 	}
--- a/core/report/ledger.go
+++ b/core/report/ledger.go
@@ -58,6 +58,7 @@
 	}
 	wasDraining := l.current.Draining
 	l.current.Sequence = max(l.current.Sequence, s.Sequence)
+	l.current.Born = max(l.current.Born, s.Born)
 	switch {
 	case s.Leaving:
 		l.current.Leaving = true
@@ -69,6 +70,11 @@
 	return Renewed
 }
 
+// Known reports whether there was a statement.
+func (l *Ledger) Known() bool {
+	return l.known
+}
+
 // Lapse forgets the present target, which has not been heard of for long. Its next
 // statement counts as a start.
 func (l *Ledger) Lapse() {
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -29,6 +29,9 @@
 		AdminAddress    string
 		OperatorAddress string
 		PeerAddress     string
+		// TargetEndpoint is the address of the target's own server; empty if the
+		// target has to announce it.
+		TargetEndpoint string
 		// AdvertiseAddress is the address that peers use; never unspecified.
 		AdvertiseAddress string
 
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -73,6 +73,8 @@
 		func(s *Settings) *string { return &s.CallerAddress }),
 	text("TargetAddress", "127.0.0.1:8081", addressAllowed, "TCP address at which the target announces itself; on a loopback interface unless Platform is rows.", isAddress,
 		func(s *Settings) *string { return &s.TargetAddress }),
+	text("TargetEndpoint", "", "empty, or "+addressAllowed, "TCP address of the target's own server, which a node that starts asks for the target.", emptyOr(isAddress),
+		func(s *Settings) *string { return &s.TargetEndpoint }),
 	text("AdminAddress", "127.0.0.1:8082", addressAllowed, "TCP address for metrics, health and status.", isAddress,
 		func(s *Settings) *string { return &s.AdminAddress }),
 	text("OperatorAddress", "127.0.0.1:8443", addressAllowed, "TCP address for operators (HTTPS).", isAddress,
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -27,6 +27,7 @@
 const (
 	serviceSource   kernel.Name = "release source"
 	serviceEndpoint kernel.Name = "platform endpoint"
+	serviceFinder   kernel.Name = "target finder"
 
 	// hostedRenewalMillis is the time without a report after which a target is
 	// gone. A report may arrive seconds late; a target that ends without a word
@@ -50,11 +51,20 @@
 		Dialect   proxy.Dialect
 		Source    plat.Source
 		Directory plat.Directory
+		// Prober asks the target beside the node who it is.
+		Prober Prober
 		// Endpoint returns the server at which the platform and the target call
 		// the node.
 		Endpoint func(c Control) Endpoint
 	}
 
+	// Prober finds the target that listens at an address.
+	Prober interface {
+		// Probe returns the target that answers a health check as healthy, with
+		// its slots and its requests in flight.
+		Probe(ctx context.Context, address, path string) (admin.Announcement, error)
+	}
+
 	// Control is what an endpoint tells and asks the node.
 	Control interface {
 		// Report takes a statement of the target beside the node. After an error
@@ -128,7 +138,8 @@
 		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
 		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed,
 	}
-	return n, n.registerHosted(w, h.Endpoint(control{targets: n.targets, node: n}))
+	f := &finder{targets: n.targets, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
+	return n, n.registerHosted(w, f, h.Endpoint(control{targets: n.targets, node: n}))
 }
 
 // seed returns the node's own entry for the directory.
@@ -137,7 +148,7 @@
 }
 
 // registerHosted gives the parts to the kernel in the order of their start.
-func (n *Node) registerHosted(w *watcher, e Endpoint) error {
+func (n *Node) registerHosted(w *watcher, f *finder, e Endpoint) error {
 	services := []struct {
 		name kernel.Name
 		unit *unit
@@ -150,6 +161,7 @@
 		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
 		{serviceSource, &unit{run: w.run}},
 		{serviceLapse, &unit{run: n.targets.run, drain: n.drainCalls}},
+		{serviceFinder, &unit{run: f.run}},
 		{serviceAdmin, &unit{open: plainOpen(n.admin.Open), run: n.admin.Run, drain: n.admin.Drain}},
 		{serviceEndpoint, &unit{open: plainOpen(e.Open), run: e.Run, drain: e.Drain}},
 	}
--- a/io/node/targets.go
+++ b/io/node/targets.go
@@ -82,6 +82,13 @@
 	return err
 }
 
+// known reports whether a target has made a statement since the node's start.
+func (t *targets) known() bool {
+	t.reports.Lock()
+	defer t.reports.Unlock()
+	return t.ledger.Known()
+}
+
 // announceStop tells the other nodes that the target takes no new work, while the
 // gate goes on admitting calls.
 func (t *targets) announceStop() {
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"strings"
 
-	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
-	"hickoryrail/core/option"
 	"hickoryrail/core/result"
 )
 
@@ -34,8 +32,6 @@
 		// Unexecuted reports whether an answer says that the request was not run.
 		// Nil takes no answer for that.
 		Unexecuted func(status int, header func(name string) []byte) bool
-		// Load returns the load that an answer reports. Nil reads none.
-		Load func(header func(name string) []byte) option.Option[admit.Load]
 		// Outcome returns the status and the delay before the next try for an
 		// outcome without an answer of the target; a negative delay sends none. Nil
 		// leaves both to the product.
