--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -12,8 +12,8 @@
 	"hickoryrail/core/ident"
 )
 
-// helloMillis bounds the arrival of the first frame of a connection.
-const helloMillis = 2 * time.Second
+// helloTimeout bounds the arrival of the first frame of a connection.
+const helloTimeout = 2 * time.Second
 
 // served is an accepted connection.
 type served struct {
@@ -59,7 +59,7 @@
 func (t *Transport) serve(conn net.Conn) {
 	defer conn.Close()
 	b := bufio.NewReaderSize(conn, bufferBytes)
-	_ = conn.SetReadDeadline(time.Now().Add(helloMillis)) // the read reports a closed connection
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout)) // the read reports a closed connection
 	m, err := read(b, bufferBytes)
 	if err != nil || m.kind != kindHello || conn.SetReadDeadline(time.Time{}) != nil {
 		return
--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-
 	"context"
 	"errors"
 	"io"
--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -23,6 +23,10 @@
 	Release
 	// Lease is a lease that was taken, lost or left.
 	Lease
+	// Answer is what a caller got.
+	Answer
+	// Omitted says that lines were left out.
+	Omitted
 )
 
 type (
@@ -42,7 +46,11 @@
 		Version ident.Version
 		Verdict result.Verdict
 		Attempt int
-		Reason  string
+		// Status is the HTTP status of an Answer.
+		Status int
+		// Count is the number of lines that an Omitted stands for.
+		Count  int
+		Reason string
 		// Wait is the time in a queue, and Took the time at the target, of a call
 		// that has ended.
 		Wait, Took clock.Millis
@@ -62,7 +70,7 @@
 )
 
 // kindNames holds the text form of each kind.
-var kindNames = [...]string{"Route", "Admit", "Retry", "Eject", "Member", "Release", "Lease"}
+var kindNames = [...]string{"Route", "Admit", "Retry", "Eject", "Member", "Release", "Lease", "Answer", "Omitted"}
 
 // String returns the kind's name.
 func (k Kind) String() string {
--- a/io/logs/filter.go
+++ b/io/logs/filter.go
@@ -11,6 +11,9 @@
 	Off
 )
 
+// failureStatus is the least status of an answer that reports a failure.
+const failureStatus = 500
+
 // FilterNames lists the names of all filters, for messages.
 const FilterNames = "all, problems, off"
 
@@ -45,5 +48,8 @@
 // target or a start at a gate has no verdict yet, so MayHaveRun, the zero
 // verdict, does not count for those kinds.
 func (d *Decision) Problem() bool {
+	if d.Kind == Answer {
+		return d.Verdict != result.Ran || d.Status >= failureStatus
+	}
 	return d.Kind >= Retry || d.Verdict == result.NotRun
 }
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -8,16 +8,26 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"hickoryrail/core/clock"
 	"hickoryrail/core/result"
 )
 
-// maxBatch bounds the decisions that the writer copies out of the ring at once.
-const maxBatch = 256
+const (
+	// maxBatch bounds the decisions that the writer copies out of the ring at once.
+	maxBatch = 256
+	// reasonOmitted is the reason for lines that were left out.
+	reasonOmitted = "log is bounded; lines were left out"
+)
 
 // DecisionLog is a Sink that writes each decision as one structured line. Record
 // copies the decision into a ring; Run writes from it. No line is lost: Record
 // waits while the ring is full, and writes directly once Run has ended.
 type DecisionLog struct {
+	// PerSecond, if above 0, bounds the lines of a second. Record then never waits:
+	// lines beyond it, and lines that find the ring full, are counted, and one
+	// line tells how many were left out. Set it before Run.
+	PerSecond int
+
 	filter Filter
 	logger *log.Logger
 
@@ -35,6 +45,13 @@
 	stopping bool
 	// stopped is true once Run has emptied the ring for the last time.
 	stopped bool
+	// second and inSecond count the lines of the present second, and omitted
+	// those that were left out since the last line that told of them.
+	second   int64
+	inSecond int
+	omitted  int
+	// dropped counts all lines that were left out.
+	dropped uint64
 	// recorded and waits count the decisions that passed the filter and those of
 	// them that found the ring full.
 	recorded, waits uint64
@@ -63,6 +80,7 @@
 		})
 	}
 	return errors.Join(
+		r.Register(count("decisions_omitted_total", "Decisions that were left out of the log.", &l.dropped)),
 		r.Register(count("decisions_total", "Decisions that were logged.", &l.recorded)),
 		r.Register(count("decision_waits_total", "Decisions that waited because the log's ring was full.", &l.waits)),
 	)
@@ -75,6 +93,10 @@
 		return
 	}
 	l.mu.Lock()
+	if l.PerSecond > 0 && !l.admit(&d) {
+		l.mu.Unlock()
+		return
+	}
 	if l.count == len(l.ring) && !l.stopped {
 		l.waits++
 	}
@@ -87,6 +109,17 @@
 		l.write(&d)
 		return
 	}
+	l.put(d)
+	wake := l.waiting
+	l.waiting = false
+	l.mu.Unlock()
+	if wake {
+		l.notEmpty.Signal()
+	}
+}
+
+// put adds a decision to the ring, which is not full. The caller holds mu.
+func (l *DecisionLog) put(d Decision) {
 	i := l.head + l.count
 	if i >= len(l.ring) {
 		i -= len(l.ring)
@@ -94,12 +127,25 @@
 	l.ring[i] = d
 	l.count++
 	l.recorded++
-	wake := l.waiting
-	l.waiting = false
-	l.mu.Unlock()
-	if wake {
-		l.notEmpty.Signal()
+}
+
+// admit reports whether a line is within the bound, and tells of those that were
+// left out before it. The caller holds mu.
+func (l *DecisionLog) admit(d *Decision) bool {
+	if second := int64(d.At / clock.Second); second != l.second {
+		l.second, l.inSecond = second, 0
+	}
+	if l.inSecond >= l.PerSecond || l.count+2 > len(l.ring) && !l.stopped {
+		l.omitted++
+		l.dropped++
+		return false
+	}
+	l.inSecond++
+	if l.omitted > 0 && !l.stopped {
+		l.put(Decision{At: d.At, Kind: Omitted, Count: l.omitted, Reason: reasonOmitted})
+		l.omitted = 0
 	}
+	return true
 }
 
 // Run writes decisions until ctx ends and then those that are left in the ring.
@@ -161,12 +207,14 @@
 	put(f, "Node", d.Node)
 	put(f, "Version", d.Version)
 	put(f, "Attempt", d.Attempt)
+	put(f, "Status", d.Status)
+	put(f, "Count", d.Count)
 	put(f, "WaitMillis", float64(d.Wait))
 	put(f, "TookMillis", float64(d.Took))
 	if d.HasLoad {
 		f["Free"], f["Queued"] = d.Free, d.Queued
 	}
-	if d.Kind <= Retry && (d.Kind == Retry || d.Verdict != result.MayHaveRun) {
+	if (d.Kind <= Retry || d.Kind == Answer) && (d.Kind == Retry || d.Kind == Answer || d.Verdict != result.MayHaveRun) {
 		f["Verdict"] = d.Verdict.String()
 	}
 	return f
--- a/io/logs/record_test.go
+++ b/io/logs/record_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
 )
@@ -169,3 +170,24 @@
 		l.write(&d)
 	}
 }
+
+// TestBoundedLog guards against a log that holds up the decisions it describes, or
+// that leaves out lines without a word.
+func TestBoundedLog(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := NewDecisionLog(New(&out, log.InfoLevel), All, 8)
+	l.PerSecond = 3
+	for i := range 20 { // nobody writes yet, so a log that waits would hang
+		l.Record(Decision{At: clock.Millis(i), Kind: Admit, Reason: "first second"})
+	}
+	l.Record(Decision{At: 1500, Kind: Answer, Status: 503, Reason: "second second"})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(l.Run(ctx))
+	text := out.String()
+	is.Equal(strings.Count(text, "first second"), 3)
+	is.Equal(strings.Count(text, "second second"), 1)
+	is.True(strings.Contains(text, `"Count":17`))
+	is.Equal(l.dropped, uint64(17))
+}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -36,6 +36,8 @@
 	// hostedDomainFactor is the DomainFactor of the picker: bytes between failure
 	// domains are paid for.
 	hostedDomainFactor = 3
+	// hostedLogLines bounds the lines of the decision log in a second.
+	hostedLogLines = 200
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
 	gateMillis = 1 * clock.Second
@@ -102,6 +104,7 @@
 	n := &Node{settings: s, kernel: kernel.New(), clock: clock.NewSystem()}
 	n.logger = logs.New(output, s.Log.Level)
 	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, logCapacity)
+	n.decisions.PerSecond = hostedLogLines
 	n.registry, n.metrics = stats.NewRegistry(), newMetrics()
 	if err := n.decisions.Register(n.registry); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -42,7 +42,9 @@
 		view  *view.View
 		route model.Route
 		// began is when the caller first tried, as far as it shows.
-		began    clock.Millis
+		began clock.Millis
+		// timeout is the time from the arrival to deadline.
+		timeout  clock.Millis
 		deadline clock.Millis
 		id       string
 		// repeated says that a request which was sent again makes the call.
@@ -351,6 +353,20 @@
 	}
 }
 
+// answered writes the line of what the caller gets.
+func (in *Ingress) answered(c *call, resp *wire.Response) {
+	now := in.Clock.Now()
+	d := logs.Decision{
+		At: now, Kind: logs.Answer, Request: ident.RequestID(c.id), Route: c.route.Name, Service: c.route.Service,
+		Node: in.Self, Version: c.view.Version(), Verdict: resp.Verdict, Attempt: c.state.Sent, Status: resp.Status,
+		Reason: resp.Reason, Took: now - (c.deadline - c.timeout),
+	}
+	if c.ctx.Err() != nil {
+		d.Reason = reasonGaveUp
+	}
+	in.Log.Record(d)
+}
+
 // record writes a line to the decision log.
 func (in *Ingress) record(k logs.Kind, now clock.Millis, c *call, number int, target ident.TargetID, v result.Verdict, reason string) {
 	in.Log.Record(logs.Decision{
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,15 +19,12 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/limit"
-	"hickoryrail/core/model"
-	"hickoryrail/core/result"
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
 	"hickoryrail/io/httpd"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/plat"
-	"hickoryrail/io/wire"
 )
 
 const (
@@ -299,7 +295,9 @@
 	}
 	key := ctx.Request.Header.Peek(headerKey)
 	if c.route.Idempotent || len(key) == 0 {
-		in.reply(ctx, in.forward(c), now)
+		resp := in.forward(c)
+		in.answered(c, resp)
+		in.reply(ctx, resp, now)
 		return
 	}
 	c.ctx = context.WithoutCancel(caller) // the outcome of a key is stored for whoever asks next
@@ -316,188 +314,3 @@
 	defer in.mu.Unlock()
 	return in.Limiter.Allow(now, caller)
 }
-
-// callerOf returns the caller's IP address.
-func callerOf(ctx *fasthttp.RequestCtx) netip.Addr {
-	address, ok := ctx.RemoteAddr().(*net.TCPAddr)
-	if !ok {
-		return netip.Addr{} // the listener accepts TCP only
-	}
-	return address.AddrPort().Addr().Unmap()
-}
-
-// rankOf returns the urgency of a request: first the calls that a request running at
-// the target beside the node makes and waits for, then the classes in order.
-// The second result says that the request that makes the call was sent again.
-func (in *Ingress) rankOf(id []byte, r *model.Route) (admit.Rank, bool) {
-	if in.Gateway != nil && in.Dialect.Parent != nil {
-		running, repeated := in.Gateway.Runs(ident.RequestID(in.Dialect.Parent(id)))
-		if running {
-			return admit.InnerRank, repeated
-		}
-	}
-	return admit.InnerRank + 1 + admit.Rank(r.Class), false
-}
-
-// newCall routes a request and copies it. It returns the refusal of a request
-// that cannot be routed.
-func (in *Ingress) newCall(ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
-	v := in.view.Load()
-	if v == nil {
-		return nil, notRun(reasonNoView)
-	}
-	r, uri, refusal := routeOf(v, ctx)
-	if refusal != nil {
-		return nil, refusal
-	}
-	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), model.MaxTimeoutMillis)
-	if !ok {
-		return nil, notRun(reasonTimeout)
-	}
-	timeout := min(left, r.TimeoutMillis)
-	if len(ctx.Request.Header.Peek(headerKey)) > maxKeyBytes {
-		return nil, notRun(reasonKeyLength)
-	}
-	h := &ctx.Request.Header
-	in.mu.Lock()
-	r.Service = in.split.Next(&r)
-	waited := in.patience.Waited(now, r.Name, left)
-	in.mu.Unlock()
-	c := &call{
-		view: v, route: r, began: now - waited, deadline: now + timeout, id: in.nextID(),
-		request: wire.Request{
-			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
-			HasGoal: r.GoalMillis > 0,
-			Method:  string(h.Method()), URI: append([]byte(nil), uri...),
-			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
-			Body:    append([]byte(nil), ctx.Request.Body()...),
-		},
-	}
-	var id []byte
-	if in.Dialect.Request != "" {
-		id = h.Peek(in.Dialect.Request)
-	}
-	if len(id) > 0 && len(id) <= maxCallerIDBytes {
-		c.id = string(id) + "." + c.id
-		c.request.CallerID = ident.RequestID(id)
-	}
-	c.request.Rank, c.repeated = in.rankOf(id, &r)
-	if in.Dialect.Origin != "" {
-		c.request.Headers.Append([]byte(in.Dialect.Origin), []byte(in.Service))
-	}
-	if !c.request.Forwardable() {
-		return nil, notRun(reasonRequest)
-	}
-	return c, nil
-}
-
-// routeOf returns the route and the URI to forward. A path that another route
-// matches once it is normalized is refused: the target could take it for the
-// other one, whose rules on retries differ.
-func routeOf(v *view.View, ctx *fasthttp.RequestCtx) (model.Route, []byte, *wire.Response) {
-	uri := ctx.Request.Header.RequestURI()
-	if len(uri) == 0 || uri[0] != '/' {
-		uri = ctx.URI().RequestURI() // absolute form
-	}
-	path, normal := string(pathOf(uri)), string(ctx.Path())
-	host := string(ctx.Request.Header.Host())
-	r, ok := v.Route(host, path)
-	if path != normal {
-		if other, found := v.Route(host, normal); found != ok || other.Name != r.Name {
-			return model.Route{}, nil, notRun(reasonPath)
-		}
-	}
-	if !ok {
-		return model.Route{}, nil, notRun(reasonNoRoute)
-	}
-	return r, uri, nil
-}
-
-// pathOf returns the path of an origin-form URI.
-func pathOf(uri []byte) []byte {
-	for i, c := range uri {
-		if c == '?' || c == '#' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
-// timeoutOf returns the smaller of the caller's and the route's timeout. It
-// returns false for a header that is not a positive number.
-func timeoutOf(header []byte, limit clock.Millis) (clock.Millis, bool) {
-	if len(header) == 0 {
-		return limit, true
-	}
-	millis, err := strconv.ParseFloat(string(header), 64)
-	if err != nil || !(millis > 0) {
-		return 0, false
-	}
-	return min(clock.Millis(millis), limit), true
-}
-
-// nextID returns an id that no other request of any node has.
-func (in *Ingress) nextID() string {
-	return in.prefix + strconv.FormatUint(in.sequence.Add(1), 36)
-}
-
-// reply writes the outcome. The body belongs to resp, which is never reused.
-func (in *Ingress) reply(ctx *fasthttp.RequestCtx, resp *wire.Response, arrived clock.Millis) {
-	h := &ctx.Response.Header
-	if resp.Verdict == result.Ran {
-		ctx.SetStatusCode(resp.Status)
-		for name, value := range resp.Headers.All() {
-			h.AddBytesKV(name, value)
-		}
-		ctx.Response.SetBodyRaw(resp.Body)
-		if ctx.IsHead() && resp.ContentLength > 0 {
-			ctx.Response.SkipBody = true
-			h.SetContentLength(resp.ContentLength)
-		}
-	} else {
-		status := statusOf(resp)
-		if in.Dialect.Outcome != nil {
-			var after clock.Millis
-			status, after = in.Dialect.Outcome(resp.Verdict, status, resp.Reason)
-			if after >= 0 {
-				h.Set("Retry-After", in.Dialect.RetryAfter(after))
-			}
-		}
-		ctx.SetStatusCode(status)
-		h.SetContentType("text/plain; charset=utf-8")
-		ctx.Response.SetBodyString(resp.Reason + "\n")
-	}
-	if !in.Dialect.Plain {
-		h.Set(headerVerdict, resp.Verdict.String())
-		if resp.Reason != "" {
-			h.Set(headerReason, resp.Reason)
-		}
-	}
-	in.metrics.verdicts[resp.Verdict].Inc()
-	in.metrics.delay.Observe((in.Clock.Now() - arrived).Duration().Seconds())
-}
-
-// malformed answers a request that fasthttp could not read. It changes nothing
-// else; the connection is closed, since its next request cannot be found.
-func (in *Ingress) malformed(ctx *fasthttp.RequestCtx, err error) {
-	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
-	reason := reasonRequest
-	switch {
-	case errors.As(err, &small):
-		reason = reasonHeader
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		reason = reasonBody
-	case errors.As(err, &timeout) && timeout.Timeout():
-		reason = reasonSlowBody
-	}
-	ctx.Response.Reset()
-	in.metrics.refused.Inc()
-	in.reply(ctx, notRun(reason), in.Clock.Now())
-	linger(ctx.Conn())
-}
-
-// notRun returns the outcome of a request that was refused.
-func notRun(reason string) *wire.Response {
-	return &wire.Response{Verdict: result.NotRun, Reason: reason}
-}
--- /dev/null
+++ b/io/proxy/reply.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/result"
+	"hickoryrail/io/wire"
+)
+
+// reply writes the outcome. The body belongs to resp, which is never reused.
+func (in *Ingress) reply(ctx *fasthttp.RequestCtx, resp *wire.Response, arrived clock.Millis) {
+	h := &ctx.Response.Header
+	if resp.Verdict == result.Ran {
+		ctx.SetStatusCode(resp.Status)
+		for name, value := range resp.Headers.All() {
+			h.AddBytesKV(name, value)
+		}
+		ctx.Response.SetBodyRaw(resp.Body)
+		if ctx.IsHead() && resp.ContentLength > 0 {
+			ctx.Response.SkipBody = true
+			h.SetContentLength(resp.ContentLength)
+		}
+	} else {
+		status := statusOf(resp)
+		if in.Dialect.Outcome != nil {
+			var after clock.Millis
+			status, after = in.Dialect.Outcome(resp.Verdict, status, resp.Reason)
+			if after >= 0 {
+				h.Set("Retry-After", in.Dialect.RetryAfter(after))
+			}
+		}
+		ctx.SetStatusCode(status)
+		h.SetContentType("text/plain; charset=utf-8")
+		ctx.Response.SetBodyString(resp.Reason + "\n")
+	}
+	if !in.Dialect.Plain {
+		h.Set(headerVerdict, resp.Verdict.String())
+		if resp.Reason != "" {
+			h.Set(headerReason, resp.Reason)
+		}
+	}
+	in.metrics.verdicts[resp.Verdict].Inc()
+	in.metrics.delay.Observe((in.Clock.Now() - arrived).Duration().Seconds())
+}
+
+// malformed answers a request that fasthttp could not read. It changes nothing
+// else; the connection is closed, since its next request cannot be found.
+func (in *Ingress) malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	reason := reasonRequest
+	switch {
+	case errors.As(err, &small):
+		reason = reasonHeader
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		reason = reasonBody
+	case errors.As(err, &timeout) && timeout.Timeout():
+		reason = reasonSlowBody
+	}
+	ctx.Response.Reset()
+	in.metrics.refused.Inc()
+	in.reply(ctx, notRun(reason), in.Clock.Now())
+	linger(ctx.Conn())
+}
+
+// notRun returns the outcome of a request that was refused.
+func notRun(reason string) *wire.Response {
+	return &wire.Response{Verdict: result.NotRun, Reason: reason}
+}
