End a planned stop within seconds

Files refuse configurations that they cannot hold. Tests with hosted nodes and a store that never answers failed before.

--- a/io/admin/target.go
+++ b/io/admin/target.go
@@ -26,9 +26,6 @@
 		Service ident.ServiceName
 		// Address is IP:port of the target's HTTP listener.
 		Address string
-		// Slots is the number of requests that the target runs at the same time; 0
-		// leaves it to the configuration.
-		Slots ident.Slots `json:"-"`
 		// InFlight is the number of requests that the target already runs.
 		InFlight int
 		// Starting says that the target does not take requests yet.
@@ -49,6 +46,8 @@
 		report.Statement
 		// Announcement describes the target; it is empty in a goodbye.
 		Announcement Announcement
+		// Slots is the number of requests that the target runs at the same time.
+		Slots ident.Slots
 	}
 
 	// targetName is the body of a drain or leave.
--- a/io/files/files.go
+++ b/io/files/files.go
@@ -1,6 +1,7 @@
 package files
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -21,6 +22,9 @@
 	maxFileBytes = 4 << 20
 )
 
+// errInexpressible reports a configuration that files cannot hold.
+var errInexpressible = errors.New("configuration has fields that files do not hold")
+
 // Source is the content of a file.
 type Source struct {
 	// Name stands in faults.
@@ -133,6 +137,26 @@
 	return nil
 }
 
+// expressible reports whether files can hold a configuration. Hosts, splits, goals,
+// bounds for callers and slots that targets announce come from platforms with a form
+// of their own.
+func expressible(c model.Configuration) bool {
+	if c.Rules.Callers != (model.CallerLimits{}) {
+		return false
+	}
+	for _, s := range c.Inventory.Services {
+		if s.TargetSlots || s.HealthPath != "" {
+			return false
+		}
+	}
+	for _, r := range c.Rules.Routes {
+		if r.Host != "" || len(r.Parts) > 0 || r.GoalMillis != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Format returns the files of a configuration; Parse of both returns an equal
 // configuration.
 func Format(c model.Configuration) (inventory, rules []byte, err error) {
@@ -143,14 +167,24 @@
 		MaxAttempts                      int
 		HedgeAfterMillis                 float64
 	}
+	type service struct {
+		Name               string
+		Slots, Connections int
+	}
+	if !expressible(c) {
+		return nil, nil, errInexpressible
+	}
 	// An empty list would be written as a value, which Parse refuses.
 	var list struct {
 		Routes []route `toml:",omitempty"`
 	}
 	lists := struct {
 		FailureDomains []model.FailureDomain `toml:",omitempty"`
-		Services       []model.Service       `toml:",omitempty"`
-	}{c.Inventory.FailureDomains, c.Inventory.Services}
+		Services       []service             `toml:",omitempty"`
+	}{FailureDomains: c.Inventory.FailureDomains}
+	for _, s := range c.Inventory.Services {
+		lists.Services = append(lists.Services, service{Name: string(s.Name), Slots: int(s.Slots), Connections: int(s.Connections)})
+	}
 	for _, r := range c.Rules.Routes {
 		list.Routes = append(list.Routes, route{
 			Name: string(r.Name), PathPrefix: r.PathPrefix, Service: string(r.Service), Class: r.Class.String(),
--- a/io/node/finder.go
+++ b/io/node/finder.go
@@ -8,8 +8,6 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
-	"hickoryrail/core/report"
-	"hickoryrail/io/admin"
 )
 
 const (
@@ -57,17 +55,16 @@
 func (f *finder) find(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, probeMillis.Duration())
 	defer cancel()
-	a, err := f.prober.Probe(ctx, f.address, path)
+	r, err := f.prober.Probe(ctx, f.address, path)
 	if err != nil {
 		f.logger.WithError(err).Debug("target does not say who it is")
 		return
 	}
-	a.Service, a.Address = f.service, f.address
+	r.Announcement.Service, r.Announcement.Address = f.service, f.address
 	if f.targets.known() {
 		return
 	}
-	err = f.targets.Report(admin.Report{Statement: report.Statement{Target: a.Target}, Announcement: a})
-	if err != nil {
+	if err := f.targets.Report(r); err != nil {
 		f.logger.WithError(err).Warn("target that was asked for its name is refused")
 	}
 }
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -40,7 +40,10 @@
 	hostedLogLines = 200
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
-	gateMillis = 1 * clock.Second
+	gateMillis = 500 * clock.Millis(1)
+	// hostedLingerMillis is how long a stopping ingress waits for callers to use
+	// their connections once more. They have been told by the readiness check.
+	hostedLingerMillis = 100 * clock.Millis(1)
 )
 
 type (
@@ -64,7 +67,7 @@
 	Prober interface {
 		// Probe returns the target that answers a health check as healthy, with
 		// its slots and its requests in flight.
-		Probe(ctx context.Context, address, path string) (admin.Announcement, error)
+		Probe(ctx context.Context, address, path string) (admin.Report, error)
 	}
 
 	// Control is what an endpoint tells and asks the node.
@@ -110,6 +113,7 @@
 		return nil, eris.Wrap(err, "node: metrics")
 	}
 	n.wirePath(random)
+	n.ingress.LingerMillis = hostedLingerMillis
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
 	n.ingress.Policy = &retry.Policy{Share: &h.Retries, RetryFailures: true, Rand: fork(random)}
 	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
@@ -147,7 +151,10 @@
 
 // seed returns the node's own entry for the directory.
 func (n *Node) seed() member.Seed {
-	return member.Seed{Node: n.settings.Node, Address: n.settings.AdvertiseAddress}
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	self := n.fleet.table.Self()
+	return member.Seed{Node: self.Node, Address: self.PeerAddress}
 }
 
 // registerHosted gives the parts to the kernel in the order of their start.
@@ -198,11 +205,11 @@
 	return nil // the time for a graceful stop is over
 }
 
-// lameDuck tells the other nodes to send their calls elsewhere and goes on serving
-// callers for a while.
+// lameDuck goes on serving callers and the other nodes for a while; near its end, it
+// tells the other nodes to send their calls elsewhere. The target beside the node is
+// out of service from then until the next start, so the time is kept short.
 func (n *Node) lameDuck(ctx context.Context, d clock.Millis) {
+	sleep(ctx, max(d-gateMillis, 0).Duration())
 	n.targets.announceStop()
 	sleep(ctx, min(d, gateMillis).Duration())
-	n.targets.stop()
-	sleep(ctx, max(d-gateMillis, 0).Duration())
 }
--- /dev/null
+++ b/io/node/hosted_test.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
+	"hickoryrail/core/report"
+	"hickoryrail/core/retry"
+	"hickoryrail/io/admin"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/plat"
+)
+
+type (
+	// hosts is a platform for hosted nodes: a source with one release, a directory
+	// and endpoints that do nothing.
+	hosts struct {
+		release model.Release
+		// down makes the source and the directory fail.
+		down bool
+
+		mu    sync.Mutex
+		seeds map[ident.NodeID]member.Seed
+		// controls are those of the nodes, in order of their start.
+		controls []Control
+	}
+
+	// quietEndpoint is an endpoint without a server.
+	quietEndpoint struct{}
+)
+
+func (quietEndpoint) Open() error { return nil }
+
+func (quietEndpoint) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (quietEndpoint) Drain(context.Context) error { return nil }
+
+func (h *hosts) Newest(context.Context) (model.Release, ident.Revision, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return model.Release{}, 0, plat.ErrNotFound
+	}
+	return h.release, 1, nil
+}
+
+func (h *hosts) Next(ctx context.Context, after ident.Revision) (model.Release, ident.Revision, error) {
+	<-ctx.Done()
+	return model.Release{}, after, ctx.Err()
+}
+
+func (h *hosts) Enter(_ context.Context, s member.Seed) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds[s.Node] = s
+	return nil
+}
+
+func (h *hosts) Nodes(context.Context) ([]member.Seed, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []member.Seed
+	for _, s := range h.seeds {
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// newHosts returns a platform whose release has one route to the service orders.
+func newHosts(t *testing.T) *hosts {
+	t.Helper()
+	r, err := model.NewRelease(1, "e", model.Configuration{
+		Inventory: model.Inventory{Services: []model.Service{{Name: "orders", Connections: 9, TargetSlots: true}}},
+		Rules: model.Rules{Routes: []model.Route{{
+			Name: "r", Host: "orders.example", PathPrefix: "/o/", Service: "orders", Class: model.Action,
+			TimeoutMillis: 2000, MaxAttempts: 2, HedgeAfterMillis: -1,
+		}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &hosts{release: r, seeds: make(map[ident.NodeID]member.Seed)}
+}
+
+// start starts a hosted node; it stops with the test unless it has stopped before.
+func (h *hosts) start(t *testing.T, id ident.NodeID) (*Node, *conf.Settings) {
+	t.Helper()
+	s, err := conf.Parse(`Node = "` + string(id) + `"
+FailureDomain = "d"
+Region = "r"
+Service = "orders"
+Platform = "rows"
+CallerAddress = "127.0.0.1:0"
+AdminAddress = "127.0.0.1:0"
+PeerAddress = "127.0.0.1:0"
+PlatformURL = "http://127.0.0.1:1"
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := NewHosted(Hosted{
+		Settings: s, Source: h, Directory: h, Retries: retry.Share{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Endpoint: func(c Control) Endpoint {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.controls = append(h.controls, c)
+			return quietEndpoint{}
+		},
+	}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return n, &s
+}
+
+// await waits until ok.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+// statement returns a report of a target.
+func statement(id ident.TargetID, address string, sequence uint64) admin.Report {
+	return admin.Report{
+		Statement:    report.Statement{Target: id, Born: 1, Sequence: sequence},
+		Announcement: admin.Announcement{Target: id, Service: "orders", Address: address},
+		Slots:        2,
+	}
+}
+
+// TestHostedNodes guards against hosted nodes that do not find each other, against a
+// target that one of them cannot reach, and against a drain that lets work through.
+func TestHostedNodes(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t)
+	a, _ := h.start(t, "a")
+	b, _ := h.start(t, "b")
+	target := http.Server{Addr: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	l := listen(t)
+	go func() { _ = target.Serve(l) }()
+	t.Cleanup(func() { _ = target.Close() })
+	is.NoErr(h.controls[1].Report(statement("t", l.Addr().String(), 1)))
+	await(t, "a target at the other node", func() bool { return a.Routable() == 1 && a.Ready() && b.Ready() })
+	get := func(n *Node) int {
+		req, err := http.NewRequest(http.MethodGet, "http://"+n.CallerAddress()+"/o/1", nil)
+		is.NoErr(err)
+		req.Host = "orders.example"
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	for _, n := range []*Node{a, b} {
+		await(t, "an answer of the target", func() bool { return get(n) == http.StatusOK })
+	}
+	drain := statement("t", l.Addr().String(), 2)
+	drain.Draining = true
+	is.NoErr(h.controls[1].Report(drain))
+	is.Equal(get(a), http.StatusServiceUnavailable)
+	is.Equal(get(b), http.StatusServiceUnavailable)
+	is.NoErr(h.controls[1].Report(statement("t", l.Addr().String(), 1))) // late
+	is.Equal(get(b), http.StatusServiceUnavailable)
+	http.DefaultClient.CloseIdleConnections()
+	for _, n := range []*Node{a, b} {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		is.NoErr(n.Stop(ctx)) // the source holds a question of each node
+		cancel()
+		is.True(time.Since(began) < 5*time.Second)
+	}
+}
+
+// TestHostedWithoutSource guards against a node that waits for the source although
+// another node has the release.
+func TestHostedWithoutSource(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t)
+	a, _ := h.start(t, "a")
+	await(t, "the release at the first node", a.Ready)
+	h.mu.Lock()
+	h.down = true
+	h.mu.Unlock()
+	b, _ := h.start(t, "b")
+	await(t, "the release at the second node", b.Ready)
+	is.Equal(b.Version(), ident.Version(1))
+	for _, n := range []*Node{a, b} {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		is.NoErr(n.Stop(ctx))
+		cancel()
+	}
+}
+
+// listen binds a loopback address until the test ends.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
--- a/io/node/targets.go
+++ b/io/node/targets.go
@@ -54,7 +54,7 @@
 	defer t.reports.Unlock()
 	switch t.ledger.Take(r.Statement) {
 	case report.Started:
-		return t.Announce(r.Announcement)
+		return t.announce(r.Announcement, r.Slots)
 	case report.Renewed:
 		return t.renewOrAnnounce(r)
 	case report.Drained:
@@ -69,7 +69,7 @@
 func (t *targets) renewOrAnnounce(r admin.Report) error {
 	err := t.Renew(admin.Renewal{Target: r.Target, InFlight: r.Announcement.InFlight, Starting: r.Announcement.Starting})
 	if errors.Is(err, admin.ErrUnknownTarget) {
-		return t.Announce(r.Announcement)
+		return t.announce(r.Announcement, r.Slots)
 	}
 	return err
 }
@@ -101,14 +101,20 @@
 
 // Announce puts the target in service.
 func (t *targets) Announce(a admin.Announcement) error {
+	return t.announce(a, 0)
+}
+
+// announce does the same with the slots that the target tells; 0 leaves them to the
+// configuration.
+func (t *targets) announce(a admin.Announcement, told ident.Slots) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopping {
 		return proxy.ErrDraining
 	}
 	slots, connections := t.fleet.limits(a.Service)
-	if a.Slots > 0 {
-		slots, connections = a.Slots, max(connections, ident.Connections(a.Slots))
+	if told > 0 {
+		slots, connections = told, max(connections, ident.Connections(told))
 	}
 	err := t.gateway.Announce(proxy.Announcement{
 		Target: a.Target, Address: a.Address,
