--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -199,7 +199,7 @@
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 || c.reading {
+	if c.unanswered > 0 || c.reading || c.finishing {
 		return
 	}
 	c.finishing = true
--- a/io/proxy/linger.go
+++ b/io/proxy/linger.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"hickoryrail/core/clock"
@@ -24,8 +25,8 @@
 	// lingerConn is a caller's connection.
 	lingerConn struct {
 		*net.TCPConn
-		// linger is set by the goroutine that later closes the connection.
-		linger bool
+		// linger is taken by the first Close; a stop can close as well.
+		linger atomic.Bool
 	}
 )
 
@@ -45,15 +46,14 @@
 // linger makes the later Close of c wait until the caller has read the answer.
 func linger(c net.Conn) {
 	if l, ok := c.(*lingerConn); ok {
-		l.linger = true
+		l.linger.Store(true)
 	}
 }
 
 // Close closes the connection. After a refusal, the rest of the request is read
 // first: closing with unread bytes sends a reset, which can overtake the answer.
 func (c *lingerConn) Close() error {
-	if c.linger {
-		c.linger = false
+	if c.linger.Swap(false) {
 		_ = c.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(lingerMillis.Duration()))
 		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
