--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -336,10 +336,12 @@
 		g.mu.Lock()
 	}
 	g.fence.Finish(now, id, resp.Verdict, kept)
-	g.Log.Record(logs.Decision{
-		At: now, Kind: logs.Admit, Request: id, Route: c.request.Route, Target: c.request.Target, Node: g.Self,
-		Verdict: resp.Verdict, Attempt: c.request.Attempt, Reason: reasonEnded, Took: took, Wait: now - took - c.arrived,
-	})
+	if c.action.Kind == admit.Start {
+		g.Log.Record(logs.Decision{
+			At: now, Kind: logs.Admit, Request: id, Route: c.request.Route, Target: c.request.Target, Node: g.Self,
+			Verdict: resp.Verdict, Attempt: c.request.Attempt, Reason: reasonEnded, Took: took, Wait: now - took - c.arrived,
+		})
+	}
 	delete(g.calls, id)
 	if g.running[c.request.CallerID] == c {
 		delete(g.running, c.request.CallerID)
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -114,6 +114,8 @@
 		prefix   string
 		sequence atomic.Uint64
 		draining atomic.Bool
+		// opened is the instant of Open.
+		opened clock.Millis
 		// inFlight counts handlers that have not returned.
 		inFlight atomic.Int64
 		// group holds hedges and stores of outcomes, which outlive their handler.
@@ -155,6 +157,7 @@
 		return err
 	}
 	in.listener = lingerListener{listener}
+	in.opened = in.Clock.Now()
 	in.Dialect = in.Dialect.withDefaults()
 	in.server = &httpd.Server{Handler: in.handle, Malformed: in.malformed, Bounds: in.bounds}
 	return nil
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -20,6 +20,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
+	"hickoryrail/core/view"
 	"hickoryrail/io/keys"
 	"hickoryrail/io/peer"
 	"hickoryrail/io/plat"
@@ -411,3 +412,25 @@
 	in.startHedge(r, &h, nil, 2)
 	is.True(!h.started) // no other target is left
 }
+
+// TestCallsWaitForFirstTargets guards against a node that has just started and
+// refuses calls a moment before it learns of the first target, and against a wait at
+// a node that has been up for long.
+func TestCallsWaitForFirstTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newStandIn(t))
+	in := newIngress(t, f)
+	in.SetView(view.Build(f.view.Release(), nil), 1)
+	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
+	defer later.Stop()
+	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	in.SetView(view.Build(f.view.Release(), nil), 1)
+	in.mu.Lock()
+	in.opened -= startMillis
+	in.mu.Unlock()
+	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+}
