--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 
@@ -36,6 +37,14 @@
 	// hostedDomainFactor is the DomainFactor of the picker: bytes between failure
 	// domains are paid for.
 	hostedDomainFactor = 3
+	// hostedGCPercent is the growth of the heap between collections. Memory beside
+	// a target is dear, and processor time is not.
+	hostedGCPercent = 30
+	// hostedKeptBytes bounds the kept answers: those of 3 s at 20 actions of 5 KB
+	// a second, which is longer than a caller of an action waits for one.
+	hostedKeptBytes = 512 << 10
+	// hostedLogCapacity is the number of decisions that wait to be written.
+	hostedLogCapacity = 512
 	// hostedLogLines bounds the lines of the decision log in a second.
 	hostedLogLines = 200
 	// gateMillis is how long the gate of a node that stops goes on admitting
@@ -106,7 +115,7 @@
 	s := h.Settings
 	n := &Node{settings: s, kernel: kernel.New(), clock: clock.NewSystem()}
 	n.logger = logs.New(output, s.Log.Level)
-	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, logCapacity)
+	n.decisions = logs.NewDecisionLog(n.logger, s.Log.Decisions, hostedLogCapacity)
 	n.decisions.PerSecond = hostedLogLines
 	n.registry, n.metrics = stats.NewRegistry(), newMetrics()
 	if err := n.decisions.Register(n.registry); err != nil {
@@ -117,6 +126,7 @@
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
 	n.ingress.Policy = &retry.Policy{Share: &h.Retries, RetryFailures: true, Rand: fork(random)}
 	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
+	n.gateway.KeptBytes = hostedKeptBytes
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	t := &frame.Transport{
 		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
@@ -186,6 +196,7 @@
 // RunHosted runs a node until ctx ends. It then says that it is not ready and
 // serves on until callers have noticed, and stops gracefully.
 func RunHosted(ctx context.Context, h Hosted, output io.Writer) error {
+	debug.SetGCPercent(hostedGCPercent)
 	n, err := NewHosted(h, output)
 	if err != nil {
 		return err
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -70,7 +70,10 @@
 		// MaxRecords bounds the remembered attempts; a full record refuses calls.
 		// Zero means the default.
 		MaxRecords int
-		Limits     Limits
+		// KeptBytes bounds the answers that are kept for callers who lost their
+		// connection; zero means the default of once.Fence.
+		KeptBytes ident.Bytes
+		Limits    Limits
 		// Dialect is what the target speaks.
 		Dialect Dialect
 		// Order is the policy of the gate's queue.
@@ -150,7 +153,7 @@
 		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis, ActionEvery: ActionEvery,
 		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
 	}
-	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords}
+	g.fence = once.Fence{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords, MaxBytes: g.KeptBytes}
 	g.earlier = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
 	g.running = make(map[ident.RequestID]*gateCall)
