Give the readiness check a setting of its own, and split the composition of a hosted node

Cause: the address of the readiness check stood under OperatorAddress, and NewHosted did everything in one function. Change: ReadyAddress, required on that platform and tested; two functions for the path and the fleet; one registration of services.

--- /dev/null
+++ b/io/conf/hosted_test.go
@@ -0,0 +1,26 @@
+package conf
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestHostedSettings guards against settings of a node on a platform with protocols
+// of its own that are refused because of rules for the others, or accepted without an
+// address that it needs.
+func TestHostedSettings(t *testing.T) {
+	is := is.New(t)
+	base := "Node = \"a\"\nFailureDomain = \"d\"\nRegion = \"r\"\nService = \"s\"\nPlatformURL = \"http://10.0.0.1:1\"\n" +
+		"CallerAddress = \"10.0.0.9:1\"\nTargetAddress = \"10.0.0.9:2\"\nPeerAddress = \"10.0.0.9:3\"\n"
+	_, err := Parse(base)
+	is.True(err != nil) // TargetAddress is not on a loopback interface, and Target is missing
+	_, err = Parse(base + "Platform = \"rows\"\n")
+	is.True(err != nil) // ReadyAddress is missing
+	s, err := Parse(base + "Platform = \"rows\"\nReadyAddress = \"10.0.0.9:4\"\nPlatformBounds = [\"a=1\",\"b=2\"]\n")
+	is.NoErr(err)
+	is.Equal(s.Platform, PlatformRows)
+	is.Equal(s.PlatformBounds, []string{"a=1", "b=2"})
+	_, err = Parse(base + "Platform = \"other\"\n")
+	is.True(err != nil)
+}
--- a/io/conf/parse.go
+++ b/io/conf/parse.go
@@ -275,6 +275,7 @@
 		}
 	}
 	hosted := s.Platform == PlatformRows
+	require(!hosted || s.ReadyAddress != "", "ReadyAddress", strconv.Quote(s.ReadyAddress), "an address, because Platform is rows")
 	require(hosted || isLoopback(s.TargetAddress), "TargetAddress", strconv.Quote(s.TargetAddress), "a loopback IP address and port")
 	if !hosted && (s.Service == "") != (s.Target == "") {
 		require(s.Service == "", "Service", strconv.Quote(string(s.Service)), "Service and Target are both set or both empty")
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -28,7 +28,10 @@
 		TargetAddress   string
 		AdminAddress    string
 		OperatorAddress string
-		PeerAddress     string
+		// ReadyAddress is where the platform asks whether the node takes callers; empty
+		// unless Platform is rows.
+		ReadyAddress string
+		PeerAddress  string
 		// TargetEndpoint is the address of the target's own server; empty if the
 		// target has to announce it.
 		TargetEndpoint string
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"runtime/debug"
 
 	"github.com/rotisserie/eris"
@@ -121,42 +122,52 @@
 	if err := n.decisions.Register(n.registry); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
+	n.wireHostedPath(&h, random)
+	n.wireHostedFleet(random)
+	if err := n.metrics.register(n.registry, n.fleet); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
+	n.admin = &admin.Admin{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
+	w := &watcher{
+		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
+		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed,
+	}
+	f := &finder{targets: n.targets, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
+	return n, n.registerHosted(w, f, h.Endpoint(control{targets: n.targets, node: n}))
+}
+
+// wireHostedPath creates the gateway, the ingress and the TCP transport.
+func (n *Node) wireHostedPath(h *Hosted, random *rand.Rand) {
 	n.wirePath(random)
-	n.ingress.LingerMillis = hostedLingerMillis
-	n.ingress.Dialect, n.ingress.Service = h.Dialect, s.Service
 	n.ingress.Policy = &retry.Policy{Share: &h.Retries, RetryFailures: true, Rand: fork(random)}
 	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
+	n.ingress.LingerMillis = hostedLingerMillis
+	n.ingress.Dialect, n.ingress.Service = h.Dialect, h.Settings.Service
 	n.gateway.KeptBytes = hostedKeptBytes
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
-	t := &frame.Transport{
-		Self: s.Node, Listen: s.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
+	n.transport = &frame.Transport{
+		Self: h.Settings.Node, Listen: h.Settings.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
 		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
 		OnCall:    n.onCall,
 		OnEvent:   n.stalls.event,
 	}
-	n.transport = t
-	n.ingress.Peers, n.stalls.transport = t, t
+	n.ingress.Peers, n.stalls.transport = n.transport, n.transport
+}
+
+// wireHostedFleet creates membership and distribution without a reader, and the state
+// of the target.
+func (n *Node) wireHostedFleet(random *rand.Rand) {
 	n.fleet = &fleet{
-		clock: n.clock, transport: t, ingress: n.ingress, gateway: n.gateway,
-		log: n.decisions, service: s.Service, metrics: n.metrics,
+		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway,
+		log: n.decisions, service: n.settings.Service, metrics: n.metrics,
 		releases: spread.New(spread.DefaultConfig(), fork(random)),
 		// The source is watched, so what it holds comes without being asked for.
 		readRelease: func(ident.Version, ident.Digest) {}, needSource: func() {},
 	}
 	n.fleet.releases.OnRefuse = n.fleet.refused
-	if err := n.metrics.register(n.registry, n.fleet); err != nil {
-		return nil, eris.Wrap(err, "node: metrics")
-	}
 	n.targets = &targets{renewal: hostedRenewalMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
 	n.status = &status{fleet: n.fleet, stopping: n.stopping.Load}
 	n.tableRandom = fork(random)
-	n.admin = &admin.Admin{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
-	w := &watcher{
-		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
-		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed,
-	}
-	f := &finder{targets: n.targets, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
-	return n, n.registerHosted(w, f, h.Endpoint(control{targets: n.targets, node: n}))
 }
 
 // seed returns the node's own entry for the directory.
@@ -169,10 +180,7 @@
 
 // registerHosted gives the parts to the kernel in the order of their start.
 func (n *Node) registerHosted(w *watcher, f *finder, e Endpoint) error {
-	services := []struct {
-		name kernel.Name
-		unit *unit
-	}{
+	return n.registerAll([]service{
 		{serviceLog, &unit{run: n.decisions.Run}},
 		{serviceTransport, &unit{open: plainOpen(n.transport.Open), run: n.transport.Run, drain: n.transport.Drain}},
 		{serviceStalls, &unit{run: n.stalls.run}},
@@ -184,13 +192,7 @@
 		{serviceFinder, &unit{run: f.run}},
 		{serviceAdmin, &unit{open: plainOpen(n.admin.Open), run: n.admin.Run, drain: n.admin.Drain}},
 		{serviceEndpoint, &unit{open: plainOpen(e.Open), run: e.Run, drain: e.Drain}},
-	}
-	for _, s := range services {
-		if err := n.kernel.Register(s.name, s.unit); err != nil {
-			return err
-		}
-	}
-	return nil
+	})
 }
 
 // RunHosted runs a node until ctx ends. It then says that it is not ready and
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -107,6 +107,7 @@
 CallerAddress = "127.0.0.1:0"
 AdminAddress = "127.0.0.1:0"
 PeerAddress = "127.0.0.1:0"
+ReadyAddress = "127.0.0.1:0"
 PlatformURL = "http://127.0.0.1:1"
 `)
 	if err != nil {
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -14,10 +14,7 @@
 // in reverse: first the servers, then requests in flight, then the lease and the
 // membership, and last the transport and the log.
 func (n *Node) register() error {
-	services := []struct {
-		name kernel.Name
-		unit *unit
-	}{
+	return n.registerAll([]service{
 		{serviceLog, &unit{run: n.decisions.Run}},
 		{serviceTransport, &unit{open: plainOpen(n.transport.Open), run: n.transport.Run, drain: n.transport.Drain}},
 		{serviceStalls, &unit{run: n.stalls.run}},
@@ -29,7 +26,17 @@
 		{serviceTargets, &unit{open: plainOpen(n.announce.Open), run: n.announce.Run, drain: n.announce.Drain}},
 		{serviceAdmin, &unit{open: plainOpen(n.admin.Open), run: n.admin.Run, drain: n.admin.Drain}},
 		{serviceOperators, &unit{open: plainOpen(n.operators.Open), run: n.operators.Run, drain: n.operators.Drain}},
-	}
+	})
+}
+
+// service is a unit with its name in the kernel.
+type service struct {
+	name kernel.Name
+	unit *unit
+}
+
+// registerAll registers services in the order of their start.
+func (n *Node) registerAll(services []service) error {
 	for _, s := range services {
 		if err := n.kernel.Register(s.name, s.unit); err != nil {
 			return err
