--- a/core/route/picker_test.go
+++ b/core/route/picker_test.go
@@ -130,3 +130,28 @@
 	is.True(hung > 0)
 	is.True(hung <= 14) // of an even share of 62; own calls in flight alone leave more than 16
 }
+
+// TestLocalPair guards against bytes between failure domains that bring nothing: among
+// equal targets nearly all calls stay near, and a near target that is slow loses them.
+func TestLocalPair(t *testing.T) {
+	is := is.New(t)
+	near := func(slow clock.Millis) int {
+		p := newPicker(1)
+		p.Limits = Limits{DomainFactor: 3, LocalPair: true, StaleMillis: 5 * clock.Second}
+		p.SetView(0, viewSize(8)) // two of eight targets are in the own failure domain
+		n := 0
+		for now := clock.Millis(0); now < 20_000; now += 10 {
+			c, ok := p.Pick(now, "orders", nil)
+			is.True(ok)
+			delay := clock.Millis(10)
+			if c.Target.FailureDomain == p.FailureDomain {
+				n++
+				delay = slow
+			}
+			p.Done(now+1, c.Target.ID, Outcome{Delay: delay, Verdict: result.Ran})
+		}
+		return n
+	}
+	is.True(near(10) > 1900)  // of 2000
+	is.True(near(100) < 1000) // a far target is tried after StaleMillis
+}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -48,6 +48,10 @@
 	hostedLogCapacity = 512
 	// hostedLogLines bounds the lines of the decision log in a second.
 	hostedLogLines = 200
+	// hostedStaleMillis is the time without calls after which a target is tried.
+	// Near targets get nearly all calls, so that far ones show what they can do
+	// only when they are tried.
+	hostedStaleMillis = 10 * clock.Second
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
 	gateMillis = 500 * clock.Millis(1)
@@ -140,7 +144,9 @@
 func (n *Node) wireHostedPath(h *Hosted, random *rand.Rand) {
 	n.wirePath(random)
 	n.ingress.Policy = &retry.Policy{Share: &h.Retries, RetryFailures: true, Rand: fork(random)}
-	n.ingress.Picker.Limits = route.Limits{DomainFactor: hostedDomainFactor, LocalPair: true}
+	n.ingress.Picker.Limits = route.Limits{
+		DomainFactor: hostedDomainFactor, LocalPair: true, StaleMillis: hostedStaleMillis,
+	}
 	n.ingress.LingerMillis = hostedLingerMillis
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, h.Settings.Service
 	n.gateway.KeptBytes = hostedKeptBytes
