Let TestHedgeAnswersFirst wait for the hedge that a first answer cancels

Change: the test waits for the ingress's hedges before it looks at the gates; each must then have its one slot free, as before. Conclusion: the test was wrong about which attempt is cancelled.

--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -403,6 +403,9 @@
 	is.Equal(string(resp.Body), "hedged")
 	is.Equal(targets[0].runsOf("hedged")+targets[1].runsOf("hedged"), 2)
 	is.Equal(targets[0].runsOf("hedged"), 1)
+	// A hedge outlives the call if the first attempt answers, which happens when the
+	// hedge is sent before it.
+	in.group.Wait()
 	for _, g := range f.gateways {
 		is.Equal(g.Load().Free, 1) // the cancelled attempt has ended
 	}
