Log requests that are refused before they are routed

Cause: read-through: a 404, or a 503 of a node without a configuration, had no line, although docs/OPERATIONS.md tells to look for it. Change: a line with the caller's id, the reason and the release; the path is left out. TestRefusalHasLine failed before.

--- a/core/member/seed_test.go
+++ b/core/member/seed_test.go
@@ -27,14 +27,14 @@
 			tables[id] = New(self, DefaultConfig(), rand.New(rand.NewPCG(uint64(i), 7)))
 		}
 	}
-	type letter struct {
+	type envelope struct {
 		from ident.NodeID
 		Action
 	}
-	var post []letter
+	var inFlight []envelope
 	send := func(from ident.NodeID, actions []Action) {
 		for _, a := range actions {
-			post = append(post, letter{from, a})
+			inFlight = append(inFlight, envelope{from, a})
 		}
 	}
 	started := func(id ident.NodeID) clock.Millis { return clock.Millis(hashesOf(id)[0] % 300) }
@@ -47,11 +47,11 @@
 	}
 	now := clock.Millis(0)
 	for ; now <= 300+clock.Second && known() < nodes; now += 50 {
-		arrived := post
-		post = nil
-		for _, l := range arrived {
-			if to := tables[l.To]; to != nil && started(l.To) <= now {
-				send(l.To, to.Receive(now, l.from, l.Message))
+		arrived := inFlight
+		inFlight = nil
+		for _, m := range arrived {
+			if to := tables[m.To]; to != nil && started(m.To) <= now {
+				send(m.To, to.Receive(now, m.from, m.Message))
 			}
 		}
 		for id, table := range tables {
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,6 +21,7 @@
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
+	"hickoryrail/io/logs"
 	"hickoryrail/io/wire"
 )
 
@@ -178,6 +180,39 @@
 	is.Equal(len(got.Header.Values("Time-Left")), 1)
 }
 
+// lineSink keeps decisions.
+type lineSink struct {
+	mu    sync.Mutex
+	lines []logs.Decision
+}
+
+func (s *lineSink) Record(d logs.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, d)
+}
+
+// TestRefusalHasLine guards against a request that is refused before it is routed and
+// that the log does not know.
+func TestRefusalHasLine(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{Self: "ingress", Incarnation: gateLife, Clock: clock.NewSystem(), Dialect: foreign()}
+	is.NoErr(g.Open())
+	in := newForeignIngress(t, newFleet(t, 4), g)
+	sink := &lineSink{}
+	in.Log = sink
+	resp, _, err := send(http.DefaultClient, in, "/nowhere", "", "Call", "c-10")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	is.Equal(len(sink.lines), 1)
+	is.Equal(sink.lines[0].Kind, logs.Answer)
+	is.Equal(sink.lines[0].Request, ident.RequestID("c-10"))
+	is.Equal(sink.lines[0].Reason, reasonNoRoute)
+	is.Equal(sink.lines[0].Version, ident.Version(1))
+}
+
 // newForeignIngress starts an ingress whose one target is behind its own gateway.
 func newForeignIngress(t *testing.T, f *fleet, g *Gateway) *Ingress {
 	t.Helper()
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
@@ -395,6 +397,21 @@
 	in.Log.Record(d)
 }
 
+// refused writes the line of a request that could not be routed. Its path is not
+// logged, since anyone can choose it.
+func (in *Ingress) refused(ctx *fasthttp.RequestCtx, resp *wire.Response, now clock.Millis) {
+	d := logs.Decision{At: now, Kind: logs.Answer, Node: in.Self, Verdict: resp.Verdict, Reason: resp.Reason}
+	if v := in.view.Load(); v != nil {
+		d.Version = v.Version()
+	}
+	if in.Dialect.Request != "" {
+		if id := ctx.Request.Header.Peek(in.Dialect.Request); len(id) <= maxCallerIDBytes {
+			d.Request = ident.RequestID(id)
+		}
+	}
+	in.Log.Record(d)
+}
+
 // record writes a line to the decision log.
 func (in *Ingress) record(k logs.Kind, now clock.Millis, c *call, number int, target ident.TargetID, v result.Verdict, reason string) {
 	in.Log.Record(logs.Decision{
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -293,6 +293,7 @@
 		c.ctx = caller
 	}
 	if refusal != nil {
+		in.refused(ctx, refusal, now)
 		in.reply(ctx, refusal, now)
 		return
 	}
