Make the cost of a release follow what it changes

Cause: on the grown site of 80 nodes a configuration has 1,130 routes and nodes have 0.16 of a core. A delta flattened both configurations into a map of text, each view arranged all routes anew (up to ten times a second while targets change), a lookup walked all routes of its host, and the check of a release made text for every value without a fault.

A delta compares element by element and makes text only of those that differ. Checks make text for faults only.

TestDeltaCostFollowsChange failed before.

--- a/core/model/delta.go
+++ b/core/model/delta.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"hickoryrail/core/ident"
+	"hickoryrail/core/sets"
 )
 
 // Delta turns one release into a later one.
@@ -31,10 +32,11 @@
 
 // MakeDelta returns the delta between two releases.
 func MakeDelta(from, to Release) Delta {
+	old, later := unlike(from.Configuration, to.Configuration)
 	return Delta{
 		From: from.Version, FromDigest: from.Digest,
 		To: to.Version, EditID: to.EditID, ToDigest: to.Digest,
-		Changes: Diff(from.Configuration, to.Configuration),
+		Changes: Diff(old, later),
 	}
 }
 
@@ -47,10 +49,29 @@
 	if d.To <= d.From {
 		return Release{}, fmt.Errorf("delta leads from version %d to %d", d.From, d.To)
 	}
-	f := flatten(from.Configuration)
+	configuration, err := d.change(from.Configuration)
+	if err != nil {
+		return Release{}, err
+	}
+	to := Release{Version: d.To, EditID: d.EditID, Digest: d.ToDigest, Configuration: configuration}
+	if err := to.Check(); err != nil {
+		return Release{}, err
+	}
+	return to, nil
+}
+
+// change applies the changes to the elements that they name; the others are taken
+// over as they are.
+func (d Delta) change(from Configuration) (Configuration, error) {
+	named := sets.Of[string]()
+	for _, c := range d.Changes {
+		named.Add(elementOf(c.Field))
+	}
+	old, rest := from.divide(named)
+	f := flatten(old)
 	for _, c := range d.Changes {
 		if f[c.Field] != c.Old {
-			return Release{}, ErrBase
+			return Configuration{}, ErrBase
 		}
 		if c.New == "" {
 			delete(f, c.Field)
@@ -58,18 +79,14 @@
 			f[c.Field] = c.New
 		}
 	}
-	configuration, err := f.configuration()
+	changed, err := f.configuration()
 	if err != nil {
-		return Release{}, err
+		return Configuration{}, err
 	}
 	// The fields must be exactly those of the result: a field that no element has,
 	// or a value in an unusual form, does not show in the digest.
-	if !maps.Equal(f, flatten(configuration)) {
-		return Release{}, errFields
+	if !maps.Equal(f, flatten(changed)) {
+		return Configuration{}, errFields
 	}
-	to := Release{Version: d.To, EditID: d.EditID, Digest: d.ToDigest, Configuration: configuration}
-	if err := to.Check(); err != nil {
-		return Release{}, err
-	}
-	return to, nil
+	return rest.join(changed), nil
 }
--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -299,3 +299,28 @@
 	is.Equal(len(clashes), 0)
 	is.Equal(merged.Digest(), removed.Digest())
 }
+
+// TestDeltaCostFollowsChange guards against a delta whose cost grows with the
+// configuration: nodes with a small share of a processor then stall at each release.
+func TestDeltaCostFollowsChange(t *testing.T) {
+	is := is.New(t)
+	allocations := func(routes int) float64 {
+		var c Configuration
+		c.Inventory.Services = []Service{{Name: "s", Slots: 1, Connections: 1}}
+		for i := range routes {
+			c.Rules.Routes = append(c.Rules.Routes, Route{
+				Name: ident.RouteName(fmt.Sprintf("r%05d", i)), PathPrefix: fmt.Sprintf("/p%d/", i),
+				Service: "s", TimeoutMillis: 1, MaxAttempts: 1,
+			})
+		}
+		from, err := NewRelease(1, "a", c)
+		is.NoErr(err)
+		c.Rules.Routes = slices.Clone(c.Rules.Routes)
+		c.Rules.Routes[routes/2].TimeoutMillis = 2
+		to, err := NewRelease(2, "b", c)
+		is.NoErr(err)
+		is.Equal(len(MakeDelta(from, to).Changes), 1)
+		return testing.AllocsPerRun(5, func() { MakeDelta(from, to) })
+	}
+	is.True(allocations(2000) <= 2*allocations(20))
+}
--- a/core/model/release.go
+++ b/core/model/release.go
@@ -51,20 +51,30 @@
 	return ident.Sum(body)
 }
 
-// sorted returns a copy of c with its lists in order of name.
+// sorted returns c with its lists in order of name. Lists that are in order are
+// shared with c.
 func (c Configuration) sorted() Configuration {
-	domains := slices.Clone(c.Inventory.FailureDomains)
-	slices.SortFunc(domains, func(a, b FailureDomain) int { return cmp.Compare(a.Name, b.Name) })
-	services := slices.Clone(c.Inventory.Services)
-	slices.SortFunc(services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
-	routes := slices.Clone(c.Rules.Routes)
-	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return Configuration{
-		Inventory: Inventory{FailureDomains: domains, Services: services},
-		Rules:     Rules{Routes: routes, Callers: c.Rules.Callers},
+		Inventory: Inventory{
+			FailureDomains: inOrder(c.Inventory.FailureDomains, domainName),
+			Services:       inOrder(c.Inventory.Services, serviceName),
+		},
+		Rules: Rules{Routes: inOrder(c.Rules.Routes, routeName), Callers: c.Rules.Callers},
 	}
 }
 
+// inOrder returns the elements in order of name, in a new list unless they are so
+// already.
+func inOrder[E any](list []E, name func(*E) string) []E {
+	byName := func(a, b E) int { return cmp.Compare(name(&a), name(&b)) }
+	if slices.IsSortedFunc(list, byName) {
+		return list
+	}
+	list = slices.Clone(list)
+	slices.SortFunc(list, byName)
+	return list
+}
+
 // EncodeRelease returns the release in canonical CBOR.
 func EncodeRelease(r Release) []byte {
 	body, err := encoder.Marshal(r)
--- a/core/model/validate.go
+++ b/core/model/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 
 	"hickoryrail/core/ident"
@@ -24,6 +23,9 @@
 	maxWeight = 1_000_000
 )
 
+// allowedClasses lists the names of the classes.
+var allowedClasses = strings.Join(classNames[:], ", ")
+
 type (
 	// Fault is one thing wrong with a configuration.
 	Fault struct {
@@ -41,6 +43,8 @@
 	// checker collects faults.
 	checker struct {
 		faults Faults
+		// kind and name are those of the element that is being checked.
+		kind, name string
 	}
 )
 
@@ -71,26 +75,27 @@
 	return nil
 }
 
-// require records a fault unless ok.
-func (k *checker) require(ok bool, field, value, allowed string) {
+// require records a fault of the element being checked unless ok. Text is made only
+// for faults, because a release may have thousands of values without one.
+func require[V any](k *checker, ok bool, field string, value V, allowed string) {
 	if !ok {
-		k.faults = append(k.faults, Fault{Field: field, Value: value, Allowed: allowed})
+		k.faults = append(k.faults, Fault{Field: k.kind + "/" + k.name + "/" + field, Value: fmt.Sprint(value), Allowed: allowed})
 	}
 }
 
-// name checks a name's form and that it is new in seen.
-func (k *checker) name(seen sets.Set[string], field, name string) {
-	k.require(validName(name), field, name, "1 to 64 letters, digits, '-', '_' or '.'")
-	k.require(seen.Add(name), field, name, "a name that is used once")
+// element starts the check of an element whose name must be valid and new in seen.
+func (k *checker) element(seen sets.Set[string], kind, name string) {
+	k.kind, k.name = kind, name
+	require(k, validName(name), existence, name, "1 to 64 letters, digits, '-', '_' or '.'")
+	require(k, seen.Add(name), existence, name, "a name that is used once")
 }
 
 // domains checks the failure domains.
 func (k *checker) domains(domains []FailureDomain) {
 	seen := sets.Of[string]()
 	for _, d := range domains {
-		field := "FailureDomain/" + string(d.Name)
-		k.name(seen, field+"/Name", string(d.Name))
-		k.require(validName(string(d.Region)), field+"/Region", string(d.Region), "a region's name")
+		k.element(seen, domainKind, string(d.Name))
+		require(k, validName(string(d.Region)), "Region", d.Region, "a region's name")
 	}
 }
 
@@ -99,67 +104,69 @@
 	seen := sets.Of[string]()
 	names := sets.Of[ident.ServiceName]()
 	for _, s := range services {
-		field := "Service/" + string(s.Name)
-		k.name(seen, field+"/Name", string(s.Name))
+		k.element(seen, serviceKind, string(s.Name))
 		names.Add(s.Name)
 		if s.TargetSlots {
-			k.require(s.Slots == 0, field+"/Slots", strconv.Itoa(int(s.Slots)), "0, because the targets announce their slots")
+			require(k, s.Slots == 0, "Slots", s.Slots, "0, because the targets announce their slots")
 		} else {
-			k.require(s.Slots >= 1 && s.Slots <= maxSlots, field+"/Slots", strconv.Itoa(int(s.Slots)), "1 to 100000")
+			require(k, s.Slots >= 1 && s.Slots <= maxSlots, "Slots", s.Slots, "1 to 100000")
 		}
-		k.require(s.HealthPath == "" || strings.HasPrefix(s.HealthPath, "/"), field+"/HealthPath", s.HealthPath, "a path that starts with '/'")
-		k.require(int(s.Connections) >= int(s.Slots) && s.Connections <= maxSlots,
-			field+"/Connections", strconv.Itoa(int(s.Connections)), "at least Slots, at most 100000")
+		require(k, s.HealthPath == "" || strings.HasPrefix(s.HealthPath, "/"), "HealthPath", s.HealthPath, "a path that starts with '/'")
+		require(k, int(s.Connections) >= int(s.Slots) && s.Connections <= maxSlots,
+			"Connections", s.Connections, "at least Slots, at most 100000")
 	}
 	return names
 }
 
 // routes checks the routes against the services.
 func (k *checker) routes(routes []Route, services sets.Set[ident.ServiceName]) {
-	names, prefixes := sets.Of[string](), sets.Of[string]()
-	for _, r := range routes {
-		field := "Route/" + string(r.Name)
-		k.name(names, field+"/Name", string(r.Name))
-		k.require(strings.HasPrefix(r.PathPrefix, "/"), field+"/PathPrefix", r.PathPrefix, "a path that starts with '/'")
-		k.require(prefixes.Add(r.Host+" "+r.PathPrefix), field+"/PathPrefix", r.PathPrefix, "a prefix that no other route has")
-		k.require(r.Host == "" || validHost(r.Host), field+"/Host", r.Host, "a host name in lower case without a port")
-		k.destinations(r, field, services)
-		k.require(int(r.Class) < len(classNames), field+"/Class", r.Class.String(), strings.Join(classNames[:], ", "))
-		k.require(r.TimeoutMillis > 0 && r.TimeoutMillis <= MaxTimeoutMillis,
-			field+"/TimeoutMillis", r.TimeoutMillis.String(), "above 0, at most 120000")
-		k.require(r.MaxAttempts >= 1 && r.MaxAttempts <= MaxRouteAttempts,
-			field+"/MaxAttempts", strconv.Itoa(r.MaxAttempts), "1 to 5")
-		k.require(r.HedgeAfterMillis >= -1 && r.HedgeAfterMillis <= MaxTimeoutMillis,
-			field+"/HedgeAfterMillis", r.HedgeAfterMillis.String(), "-1 to 120000")
-		k.require(r.GoalMillis >= 0 && r.GoalMillis <= MaxTimeoutMillis, field+"/GoalMillis", r.GoalMillis.String(), "0 to 120000")
+	names, prefixes := sets.Of[string](), sets.Of[[2]string]()
+	for i := range routes {
+		r := &routes[i]
+		k.element(names, routeKind, string(r.Name))
+		require(k, strings.HasPrefix(r.PathPrefix, "/"), "PathPrefix", r.PathPrefix, "a path that starts with '/'")
+		require(k, prefixes.Add([2]string{r.Host, r.PathPrefix}), "PathPrefix", r.PathPrefix, "a prefix that no other route has")
+		require(k, r.Host == "" || validHost(r.Host), "Host", r.Host, "a host name in lower case without a port")
+		k.destinations(r, services)
+		k.routeBounds(r)
 	}
 }
 
+// routeBounds checks a route's figures.
+func (k *checker) routeBounds(r *Route) {
+	require(k, int(r.Class) < len(classNames), "Class", r.Class, allowedClasses)
+	require(k, r.TimeoutMillis > 0 && r.TimeoutMillis <= MaxTimeoutMillis, "TimeoutMillis", r.TimeoutMillis, "above 0, at most 120000")
+	require(k, r.MaxAttempts >= 1 && r.MaxAttempts <= MaxRouteAttempts, "MaxAttempts", r.MaxAttempts, "1 to 5")
+	require(k, r.HedgeAfterMillis >= -1 && r.HedgeAfterMillis <= MaxTimeoutMillis, "HedgeAfterMillis", r.HedgeAfterMillis, "-1 to 120000")
+	require(k, r.GoalMillis >= 0 && r.GoalMillis <= MaxTimeoutMillis, "GoalMillis", r.GoalMillis, "0 to 120000")
+}
+
 // destinations checks the service or the parts of a route.
-func (k *checker) destinations(r Route, field string, services sets.Set[ident.ServiceName]) {
+func (k *checker) destinations(r *Route, services sets.Set[ident.ServiceName]) {
 	if len(r.Parts) == 0 {
-		k.require(services.Has(r.Service), field+"/Service", string(r.Service), "a service of the inventory")
+		require(k, services.Has(r.Service), "Service", r.Service, "a service of the inventory")
 		return
 	}
-	k.require(r.Service == "", field+"/Service", string(r.Service), "no service beside parts")
+	require(k, r.Service == "", "Service", r.Service, "no service beside parts")
 	total, seen := 0, sets.Of[ident.ServiceName]()
 	for _, p := range r.Parts {
-		k.require(services.Has(p.Service) && seen.Add(p.Service), field+"/Parts", string(p.Service), "a service of the inventory, once")
-		k.require(p.Weight >= 0 && p.Weight <= maxWeight, field+"/Parts", strconv.Itoa(p.Weight), "a weight from 0 to 1000000")
+		require(k, services.Has(p.Service) && seen.Add(p.Service), "Parts", p.Service, "a service of the inventory, once")
+		require(k, p.Weight >= 0 && p.Weight <= maxWeight, "Parts", p.Weight, "a weight from 0 to 1000000")
 		total += max(p.Weight, 0)
 	}
-	k.require(total > 0, field+"/Parts", "0", "a weight above 0")
+	require(k, total > 0, "Parts", 0, "a weight above 0")
 }
 
 // limits checks the bounds for callers.
 func (k *checker) limits(l CallerLimits) {
 	ok := l.HeaderBytes >= 0 && l.BodyBytes >= 0 && l.HeaderMillis >= 0 && l.IdleMillis >= 0
-	k.require(ok, "Callers/"+callersName, "negative", "values from 0")
+	k.kind, k.name = callersKind, callersName
+	require(k, ok, "Limits", "negative", "values from 0")
 }
 
 // validHost reports whether host is a host name in lower case.
 func validHost(host string) bool {
-	for _, label := range strings.Split(host, ".") {
+	for label := range strings.SplitSeq(host, ".") {
 		if !validName(label) || label != strings.ToLower(label) {
 			return false
 		}
--- a/core/route/split.go
+++ b/core/route/split.go
@@ -40,14 +40,10 @@
 	return state.next()
 }
 
-// Keep forgets the routes that are not in the configuration.
-func (s *Split) Keep(routes []model.Route) {
-	present := make(map[ident.RouteName]bool, len(s.routes))
-	for i := range routes {
-		present[routes[i].Name] = true
-	}
+// Keep forgets the routes for which has is false.
+func (s *Split) Keep(has func(ident.RouteName) bool) {
 	for name := range s.routes {
-		if !present[name] {
+		if !has(name) {
 			delete(s.routes, name)
 		}
 	}
--- a/core/route/split_test.go
+++ b/core/route/split_test.go
@@ -46,7 +46,7 @@
 	is.Equal(s.Next(&r), ident.ServiceName("a"))
 	r.Parts = []model.Part{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}
 	is.Equal(s.Next(&r), ident.ServiceName("b"))
-	s.Keep(nil)
+	s.Keep(func(ident.RouteName) bool { return false })
 	is.Equal(len(s.routes), 0)
 	is.Equal(s.Next(&model.Route{Name: "r", Service: "c"}), ident.ServiceName("c"))
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -52,6 +52,8 @@
 		releases *spread.Node
 		// inForce is the release of the current view; its version never falls.
 		inForce model.Release
+		// index has the routes of inForce.
+		index *view.Index
 		// seen is the table's sequence of the current view.
 		seen uint64
 		// stale says that the view has to be rebuilt.
@@ -242,7 +244,7 @@
 
 // apply puts a release in force. The caller holds mu.
 func (f *fleet) apply(r model.Release) {
-	f.inForce, f.stale = r, true
+	f.inForce, f.index, f.stale = r, view.NewIndex(r), true
 	f.table.SetHeld(r.Version)
 	f.metrics.version.Set(float64(r.Version))
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Reason: reasonInForce})
@@ -259,7 +261,7 @@
 		return
 	}
 	f.stale, f.seen = false, f.table.Sequence()
-	f.ingress.SetView(view.Build(f.inForce, f.table.Records()), f.table.Size())
+	f.ingress.SetView(f.index.Join(f.table.Records()), f.table.Size())
 }
 
 // changed logs a change of a member's state.
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -201,7 +201,7 @@
 		in.Policy.Share.Nodes = nodes
 	}
 	in.Picker.SetView(in.Clock.Now(), v)
-	in.split.Keep(v.Release().Configuration.Rules.Routes)
+	in.split.Keep(v.HasRoute)
 	in.patience.Keep(v.HasRoute)
 	in.mu.Unlock()
 	in.view.Store(v)
