Let a delta turn a route into a split

Cause: a delta removes the field Service of a route that gets parts, but flatten wrote an empty Service for such a route, so every receiver refused the delta as incomplete and took the whole release. Property tests drew no split.

Change: flatten leaves an empty Service out, like the other optional fields; the tests draw splits, hosts, goals and bounds for callers.

TestDelta failed before (after 0 draws) and passes.

--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -153,7 +153,6 @@
 	name := string(r.Name)
 	f.put(routeKind, name, existence, name)
 	f.put(routeKind, name, "PathPrefix", r.PathPrefix)
-	f.put(routeKind, name, "Service", string(r.Service))
 	f.put(routeKind, name, "Class", r.Class.String())
 	f.put(routeKind, name, "Idempotent", strconv.FormatBool(r.Idempotent))
 	f.put(routeKind, name, "TimeoutMillis", formatMillis(r.TimeoutMillis))
@@ -162,6 +161,9 @@
 	if r.Host != "" {
 		f.put(routeKind, name, "Host", r.Host)
 	}
+	if r.Service != "" {
+		f.put(routeKind, name, "Service", string(r.Service))
+	}
 	if len(r.Parts) > 0 {
 		f.put(routeKind, name, "Parts", formatParts(r.Parts))
 	}
--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -41,8 +41,14 @@
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), MaxAttempts: 1,
 			TimeoutMillis:    clock.Millis(rapid.Float64Range(1e-6, MaxTimeoutMillis).Draw(t, "timeout")),
 			HedgeAfterMillis: clock.Millis(rapid.SampledFrom([]float64{-1, 0, math.Copysign(0, -1), 2.5}).Draw(t, "hedge")),
+			Host:             rapid.SampledFrom([]string{"", "h"}).Draw(t, "host"),
+			GoalMillis:       clock.Millis(rapid.IntRange(0, 1).Draw(t, "goal")),
 		})
+		if r := &c.Rules.Routes[len(c.Rules.Routes)-1]; rapid.Bool().Draw(t, "split") {
+			r.Parts, r.Service = []Part{{Service: r.Service, Weight: rapid.IntRange(1, 3).Draw(t, "weight")}}, ""
+		}
 	}
+	c.Rules.Callers.BodyBytes = ident.Bytes(rapid.IntRange(0, 1).Draw(t, "body"))
 	for i := range rapid.IntRange(0, 2).Draw(t, "domains") {
 		region := ident.Region(rapid.SampledFrom([]string{"attica", "windhoek"}).Draw(t, "region"))
 		c.Inventory.FailureDomains = append(c.Inventory.FailureDomains, FailureDomain{
