Let three nodes of each failure domain watch the source

Cause: every node waited for changes of the store's table.

Change: member.Table.LeadsDomain names the first three nodes of a failure domain that answer; they watch, and read only the newest version while changes follow each other within 2 s. The others get deltas from their neighbours and look after 30 to 60 s without a read. spread.Config.SourceMillis: a node that has no base for a delta reads the source itself and asks a neighbour for a whole release only after 0.8 s. A delta that does not come within 0.5 s is asked for elsewhere. The directory is listed once, because of two nodes that start together the later one sees the other.

--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -76,6 +76,29 @@
 	})
 }
 
+// TestLeadsDomain guards against a shared duty that nobody in a failure domain
+// carries out, or that nodes keep from which another one has taken over.
+func TestLeadsDomain(t *testing.T) {
+	is := is.New(t)
+	leaders := func(b *bag) (out []ident.NodeID) {
+		for _, n := range b.nodes {
+			if s := b.slots[n]; s.table != nil && s.table.LeadsDomain(2) {
+				out = append(out, n)
+			}
+		}
+		return out
+	}
+	b := newBag(5, 6)
+	b.run(10 * clock.Second)
+	is.Equal(leaders(b), b.nodes[:2])
+	b.slots[b.nodes[0]].table = nil
+	b.run(detectionMillis(b.config, 6))
+	is.Equal(leaders(b), b.nodes[1:3])
+	b.start(b.nodes[0], 0)
+	b.run(10 * clock.Second)
+	is.Equal(leaders(b), b.nodes[:2])
+}
+
 // TestDetection guards against killed nodes that are found late or not at all.
 func TestDetection(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -42,6 +42,10 @@
 		MaxChanges int
 		// NeedSourceMillis is the wait for peers before the source is asked for.
 		NeedSourceMillis clock.Millis
+		// SourceMillis is the time that a node leaves to its own source before it asks
+		// neighbours for a whole release; deltas are asked for at once. 0 is for nodes
+		// that do not read the source themselves.
+		SourceMillis clock.Millis
 		// MaxRegions bounds the regions whose pulses are kept.
 		MaxRegions int
 	}
--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -32,6 +32,8 @@
 	case SnapshotBody:
 		return n.takeSnapshot(now, from, p, m)
 	case Busy:
+		// A neighbour that leaves whole releases to the source has no delta.
+		n.fetch.whole = n.fetch.whole || n.config.SourceMillis > 0 && from == n.fetch.from
 		n.failed(now, from, n.jitter(n.config.BusyMillis))
 		return n.pursue(now)
 	}
@@ -77,6 +79,9 @@
 	if len(able) == 0 {
 		return nil
 	}
+	if wait, asked := n.leaveToSource(now); wait {
+		return asked
+	}
 	n.fetch.from = able[n.random.IntN(len(able))]
 	n.fetch.sentAt = now
 	m := Message{Kind: Fetch, Version: n.held.Version, Digest: n.held.Digest}
@@ -86,6 +91,20 @@
 	return []Action{n.send(n.fetch.from, m)}
 }
 
+// leaveToSource reports whether a whole release is needed and the node's own source
+// still has time to provide it. The first time it asks for the source.
+func (n *Node) leaveToSource(now clock.Millis) (bool, []Action) {
+	if n.config.SourceMillis == 0 || n.held.Version > 0 && !n.fetch.whole {
+		return false, nil
+	}
+	var out []Action
+	if n.wholeAt == 0 {
+		n.wholeAt = now + n.config.SourceMillis
+		out = append(out, Action{Kind: NeedSource, Version: n.peerVersion()})
+	}
+	return now < n.wholeAt, out
+}
+
 // checkFetch gives up a neighbour that went silent; pursue then asks another.
 func (n *Node) checkFetch(now clock.Millis) {
 	if n.fetch.from != "" && now-n.fetch.sentAt >= n.config.FetchMillis {
@@ -103,7 +122,9 @@
 	}
 }
 
-// serve answers a Fetch with a delta, a snapshot, or a refusal.
+// serve answers a Fetch with a delta, a snapshot, or a refusal. A node that holds a
+// release and reads the source itself gets no snapshot before it asks for a whole
+// release.
 func (n *Node) serve(now clock.Millis, from ident.NodeID, m Message) []Action {
 	if n.held.Version <= m.Version {
 		return []Action{n.announce(now, from)}
@@ -111,7 +132,9 @@
 	if delta, ok := n.deltaFrom(m.Version, m.Digest); ok {
 		return []Action{n.send(from, Message{Kind: DeltaBody, Version: n.held.Version, Digest: n.held.Digest, Delta: &delta})}
 	}
-	if _, again := n.serving[from]; !again && len(n.serving) >= n.config.MaxSnapshots {
+	_, again := n.serving[from]
+	leave := n.config.SourceMillis > 0 && m.Version > 0
+	if leave || !again && len(n.serving) >= n.config.MaxSnapshots {
 		return []Action{n.send(from, Message{Kind: Busy, Version: n.held.Version, Digest: n.held.Digest})}
 	}
 	n.serving[from] = now
--- a/core/spread/message.go
+++ b/core/spread/message.go
@@ -14,7 +14,8 @@
 	DeltaBody
 	// SnapshotBody carries a whole release.
 	SnapshotBody
-	// Busy refuses a Fetch, because too many snapshots are being served.
+	// Busy refuses a Fetch, because too many snapshots are being served or because
+	// the asker can read the source itself.
 	Busy
 
 	// kinds is the number of kinds.
@@ -29,7 +30,8 @@
 	// ReadRelease asks the reader to get the release with Version and Digest from
 	// the source and to pass it to SourceRelease.
 	ReadRelease
-	// NeedSource says that no peer can provide a release at or above the floor.
+	// NeedSource says that no peer can provide a release at or above the floor, or
+	// that the source is to provide it before peers do.
 	NeedSource
 )
 
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -37,6 +37,9 @@
 		// peers holds the state of the neighbours.
 		peers map[ident.NodeID]*peer
 		fetch fetch
+		// wholeAt is the time from which neighbours are asked for a whole release
+		// because the source did not provide one; 0 while none is needed.
+		wholeAt clock.Millis
 		// serving holds when each snapshot that is being served began.
 		serving map[ident.NodeID]clock.Millis
 		// head is what the source was last seen to hold; readAt is when it was
@@ -208,7 +211,7 @@
 		n.recent = slices.Delete(n.recent, 0, max(0, len(n.recent)-n.config.Recent))
 	}
 	n.held, n.body = r, nil
-	n.fetch = fetch{}
+	n.fetch, n.wholeAt = fetch{}, 0
 	out := n.apply()
 	return append(out, n.Tick(now)...)
 }
--- a/core/spread/node_test.go
+++ b/core/spread/node_test.go
@@ -230,6 +230,45 @@
 	is.Equal(len(only(Apply, n.Receive(4, "b", snapshot(three)))), 1)
 }
 
+// TestSourceBeforeSnapshot guards against whole releases that cross the fleet although
+// each node can read them from the source, and against a node that waits for ever for
+// a source that does not answer.
+func TestSourceBeforeSnapshot(t *testing.T) {
+	is := is.New(t)
+	c := DefaultConfig()
+	c.SourceMillis = 800
+	newNode := func() *Node {
+		n := New(c, rand.New(rand.NewPCG(1, 1)))
+		n.SetNeighbours(0, []Neighbour{{Node: "b"}})
+		n.SetFloor(0, 0)
+		return n
+	}
+	two, three := release(t, 2), release(t, 3)
+	announce := func(r model.Release) Message { return Message{Kind: Announce, Version: r.Version, Digest: r.Digest} }
+
+	n := newNode() // a node that has just started
+	actions := n.Receive(1, "b", announce(two))
+	is.Equal(len(only(NeedSource, actions)), 1)
+	is.Equal(len(sent(Fetch, actions)), 0)
+	is.Equal(len(only(NeedSource, n.Tick(100))), 0)
+	is.Equal(len(sent(Fetch, n.Tick(1+c.SourceMillis))), 1)
+	is.Equal(len(only(Apply, n.Receive(900, "b", snapshot(two)))), 1)
+
+	asked := sent(Fetch, n.Receive(1000, "b", announce(three))) // a delta needs no wait
+	is.Equal(asked[0].Message.Version, ident.Version(2))
+	is.Equal(len(sent(Fetch, n.Receive(1001, "b", Message{Kind: Busy, Version: 3, Digest: three.Digest}))), 0)
+	actions = n.Tick(1001 + 2*c.BusyMillis)
+	is.Equal(len(only(NeedSource, actions)), 1)
+	asked = sent(Fetch, n.Tick(1001+2*c.BusyMillis+c.SourceMillis))
+	is.Equal(asked[0].Message.Version, ident.Version(0))
+
+	other := newNode() // the neighbour that is asked
+	other.Receive(1, "b", snapshot(three))
+	ask := func(v ident.Version) []Action { return other.Receive(2, "b", Message{Kind: Fetch, Version: v}) }
+	is.Equal(len(sent(Busy, ask(2))), 1)
+	is.Equal(len(sent(SnapshotBody, ask(0))), 1)
+}
+
 // TestRounds guards against changes that do not coalesce within a round, and
 // against a last change that is announced late or not at all.
 func TestRounds(t *testing.T) {
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -285,6 +285,21 @@
 	f.table.AddSeeds(f.clock.Now(), seeds)
 }
 
+// served reports whether a release at or above the floor is in force.
+func (f *fleet) served() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.releases.Ready() && f.inForce.Version > 0
+}
+
+// leadsDomain reports whether the node is one of the first live ones of its failure
+// domain.
+func (f *fleet) leadsDomain(count int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.LeadsDomain(count)
+}
+
 // alone reports whether no other node is known to be alive.
 func (f *fleet) alone() bool {
 	f.mu.Lock()
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -52,6 +52,12 @@
 	// Near targets get nearly all calls, so that far ones show what they can do
 	// only when they are tried.
 	hostedStaleMillis = 10 * clock.Second
+	// hostedSourceMillis is the time for a node's own read of a whole release, which
+	// is cheaper than a snapshot from a neighbour in another failure domain.
+	hostedSourceMillis = 800 * clock.Millis(1)
+	// hostedFetchMillis is the wait for a delta from a neighbour that may have
+	// stopped; several fit into the time in which a release must be in force.
+	hostedFetchMillis = 500 * clock.Millis(1)
 	// gateMillis is how long the gate of a node that stops goes on admitting
 	// calls of nodes that have not heard of the stop.
 	gateMillis = 500 * clock.Millis(1)
@@ -134,8 +140,9 @@
 	n.admin = &admin.Admin{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
 	w := &watcher{
 		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, log: n.decisions, metrics: n.metrics,
-		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed,
+		startMillis: s.Spread.StartSourceMillis, random: fork(random), self: n.seed, wanted: make(chan struct{}, 1),
 	}
+	n.fleet.needSource = w.want
 	f := &finder{targets: n.targets, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
 	return n, n.registerHosted(w, f, h.Endpoint(control{targets: n.targets, node: n}))
 }
@@ -163,12 +170,14 @@
 // wireHostedFleet creates membership and distribution without a reader, and the state
 // of the target.
 func (n *Node) wireHostedFleet(random *rand.Rand) {
+	config := spread.DefaultConfig()
+	config.SourceMillis, config.FetchMillis = hostedSourceMillis, hostedFetchMillis
 	n.fleet = &fleet{
 		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway,
 		log: n.decisions, service: n.settings.Service, metrics: n.metrics,
-		releases: spread.New(spread.DefaultConfig(), fork(random)),
-		// The source is watched, so what it holds comes without being asked for.
-		readRelease: func(ident.Version, ident.Digest) {}, needSource: func() {},
+		releases: spread.New(config, fork(random)),
+		// The watcher hands over whole releases; none is read by its name.
+		readRelease: func(ident.Version, ident.Digest) {},
 	}
 	n.fleet.releases.OnRefuse = n.fleet.refused
 	n.targets = &targets{renewal: hostedRenewalMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,11 @@
 
 		mu    sync.Mutex
 		seeds map[ident.NodeID]member.Seed
+		// newer is closed when the release changes.
+		newer chan struct{}
+		// waits counts the answers to waits for a change, and reads those of the
+		// newest release.
+		waits, reads int
 		// controls are those of the nodes, in order of their start.
 		controls []Control
 	}
@@ -55,12 +61,43 @@
 	if h.down {
 		return model.Release{}, 0, plat.ErrNotFound
 	}
-	return h.release, 1, nil
+	h.reads++
+	return h.release, ident.Revision(h.release.Version), nil
 }
 
 func (h *hosts) Next(ctx context.Context, after ident.Revision) (model.Release, ident.Revision, error) {
-	<-ctx.Done()
-	return model.Release{}, after, ctx.Err()
+	for {
+		h.mu.Lock()
+		r, newer := h.release, h.newer
+		if ident.Revision(r.Version) > after {
+			h.waits++
+			h.mu.Unlock()
+			return r, ident.Revision(r.Version), nil
+		}
+		h.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return model.Release{}, after, ctx.Err()
+		case <-newer:
+		}
+	}
+}
+
+// publish puts a release with another timeout at the source.
+func (h *hosts) publish(t *testing.T) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.release.Configuration
+	c.Rules.Routes = slices.Clone(c.Rules.Routes)
+	c.Rules.Routes[0].TimeoutMillis++
+	r, err := model.NewRelease(h.release.Version+1, "e", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.release = r
+	close(h.newer)
+	h.newer = make(chan struct{})
 }
 
 func (h *hosts) Enter(_ context.Context, s member.Seed) error {
@@ -93,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &hosts{release: r, seeds: make(map[ident.NodeID]member.Seed)}
+	return &hosts{release: r, seeds: make(map[ident.NodeID]member.Seed), newer: make(chan struct{})}
 }
 
 // start starts a hosted node; it stops with the test unless it has stopped before.
@@ -218,6 +255,58 @@
 	}
 }
 
+// TestFewNodesWatch guards against a fleet in which every node reads each change of
+// the source: on links of 7 Mbit/s, configurations in quick succession then take the
+// place of requests. It also guards against a node that misses a change because it
+// does not watch, or because those that watch have stopped.
+func TestFewNodesWatch(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t)
+	var nodes []*Node
+	for _, id := range []ident.NodeID{"a", "b", "c", "d", "e", "f"} {
+		n, _ := h.start(t, id)
+		nodes = append(nodes, n)
+	}
+	stop := func(list []*Node) {
+		for _, n := range list {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			is.NoErr(n.Stop(ctx))
+			cancel()
+		}
+	}
+	hold := func(list []*Node, v ident.Version) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(list, func(n *Node) bool { return n.Version() != v })
+		}
+	}
+	size := func(n *Node) int {
+		n.fleet.mu.Lock()
+		defer n.fleet.mu.Unlock()
+		return n.fleet.table.Size()
+	}
+	await(t, "a whole fleet", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return size(n) != len(nodes) })
+	})
+	await(t, "the first release", hold(nodes, 1))
+	// The waits that began before the nodes knew each other end with the first change.
+	h.publish(t)
+	await(t, "the second release", hold(nodes, 2))
+	time.Sleep((settleMillis + 2*dutyMillis).Duration())
+	h.mu.Lock()
+	h.waits, h.reads = 0, 0
+	h.mu.Unlock()
+	h.publish(t)
+	await(t, "the third release", hold(nodes, 3))
+	time.Sleep((settleMillis + 2*dutyMillis).Duration())
+	h.mu.Lock()
+	is.True(h.waits >= 1 && h.waits <= watchersPerDomain)
+	h.mu.Unlock()
+	stop(nodes[:3])
+	h.publish(t)
+	await(t, "the fourth release", hold(nodes[3:], 4))
+	stop(nodes[3:])
+}
+
 // listen binds a loopback address until the test ends.
 func listen(t *testing.T) net.Listener {
 	t.Helper()
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -28,9 +29,17 @@
 	// lonelyMillis is the interval at which a node that knows no other reads the
 	// directory again.
 	lonelyMillis = 1 * clock.Second
-	// relistMillis is the delay after the start at which every node reads the
-	// directory once more, for nodes that started at the same time.
-	relistMillis = 1 * clock.Second
+	// watchersPerDomain is the number of nodes in each failure domain that wait for
+	// changes of the source; the others get them as deltas from their neighbours. A
+	// fleet that loses one of them, or in which one is cut off, waits for nothing.
+	watchersPerDomain = 3
+	// dutyMillis is the interval at which a node looks whether it has to watch.
+	dutyMillis = 400 * clock.Millis(1)
+	// recheckMillis is the longest time without a read of the source.
+	recheckMillis = 60 * clock.Second
+	// successionMillis is the time between two changes below which only the newest
+	// release is read, because the source hands out each one that came in between.
+	successionMillis = 2 * clock.Second
 )
 
 // Reasons of the watcher.
@@ -39,8 +48,9 @@
 	reasonSourceFound = "source answers again"
 )
 
-// watcher follows the source of releases on each node, and finds the other nodes
-// by the directory.
+// watcher follows the source of releases, and finds the other nodes by the directory.
+// Every node reads the newest release when it starts and when its neighbours have no
+// delta for it; a few nodes of each failure domain also wait for changes.
 type watcher struct {
 	clock     clock.Clock
 	source    plat.Source
@@ -55,47 +65,101 @@
 	// floor.
 	startMillis clock.Millis
 
+	// wanted has an entry if the source has to be read at once; its capacity is 1.
+	wanted chan struct{}
+
+	// newest is the highest version that was read.
+	newest ident.Version
+	// changedAt is when the last release came from a wait for changes.
+	changedAt clock.Millis
+	// succession says that changes follow each other quickly, so that only the
+	// newest is read.
+	succession bool
 	// lost says that the last call to the source failed.
 	lost bool
 	// pause is the present pause after a failure.
 	pause clock.Millis
 }
 
-// run watches the source until ctx ends.
+// run reads the source until ctx ends.
 func (w *watcher) run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { w.join(ctx) })
+	w.changedAt = -clock.Forever
 	started := w.clock.Now()
 	for ctx.Err() == nil {
 		after, ok := w.readNewest(ctx)
-		for ok {
+		for ok && !w.succession && w.onDuty() {
 			after, ok = w.readNext(ctx, after)
 		}
+		if w.succession {
+			continue
+		}
 		if w.clock.Now()-started >= w.startMillis {
 			w.floorFromPeers()
 		}
+		w.rest(ctx)
 	}
 	return ctx.Err()
 }
 
-// readNewest reads the newest release and sets the floor.
+// onDuty reports whether the node waits for changes of the source.
+func (w *watcher) onDuty() bool {
+	return !w.fleet.served() || w.fleet.leadsDomain(watchersPerDomain)
+}
+
+// rest waits until the node has to read the source: it has become one of those that
+// watch, its neighbours have no delta for it, or it has not read for long.
+func (w *watcher) rest(ctx context.Context) {
+	until := w.clock.Now() + recheckMillis*clock.Millis(0.5+w.random.Float64()/2)
+	for !w.onDuty() && w.clock.Now() < until && ctx.Err() == nil {
+		select {
+		case <-w.wanted:
+			return
+		case <-time.After(dutyMillis.Duration()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// want asks for a read of the source. It does not block.
+func (w *watcher) want() {
+	select {
+	case w.wanted <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// readNewest reads the newest release and sets the floor. It settles after a change;
+// without one, a quick succession of changes is over.
 func (w *watcher) readNewest(ctx context.Context) (ident.Revision, bool) {
 	bounded, cancel := context.WithTimeout(ctx, readMillis.Duration())
 	defer cancel()
+	select {
+	case <-w.wanted:
+	default:
+	}
 	r, revision, err := w.source.Newest(bounded)
 	if err != nil {
+		w.succession = false
 		w.failed(ctx)
 		return 0, false
 	}
 	w.answered()
+	changed := r.Version > w.newest
 	w.take(r)
 	w.fleet.setFloor(r.Version)
+	if changed {
+		sleep(ctx, settleMillis.Duration())
+	} else {
+		w.succession = false
+	}
 	return revision, true
 }
 
 // readNext waits for a newer release. It returns false if the source has to be read
-// anew.
+// anew, because it has forgotten the changes.
 func (w *watcher) readNext(ctx context.Context, after ident.Revision) (ident.Revision, bool) {
 	r, revision, err := w.source.Next(ctx, after)
 	switch {
@@ -109,9 +173,12 @@
 	}
 	w.answered()
 	w.take(r)
-	if r.Version > 0 {
-		sleep(ctx, settleMillis.Duration())
+	if r.Version == 0 {
+		return max(revision, after), true
 	}
+	now := w.clock.Now()
+	w.succession, w.changedAt = now-w.changedAt < successionMillis, now
+	sleep(ctx, settleMillis.Duration())
 	return max(revision, after), true
 }
 
@@ -120,6 +187,7 @@
 	if r.Version == 0 {
 		return
 	}
+	w.newest = max(w.newest, r.Version)
 	w.fleet.sourceHead(r.Version, r.Digest)
 	w.fleet.sourceRelease(r)
 }
@@ -157,8 +225,9 @@
 	}
 }
 
-// join enters the node in the directory and contacts the nodes that it lists. A
-// node that knows no other one goes on asking.
+// join enters the node in the directory and contacts the nodes that it lists. Of any
+// two nodes, the one that entered last sees the other, so one list is enough for
+// nodes that start together. A node that knows no other one goes on asking.
 func (w *watcher) join(ctx context.Context) {
 	pause := watchLeast
 	for !w.enter(ctx) {
@@ -168,10 +237,6 @@
 		pause = min(2*pause, watchMost)
 	}
 	w.list(ctx)
-	if !sleep(ctx, relistMillis.Duration()) {
-		return
-	}
-	w.list(ctx)
 	for sleep(ctx, lonelyMillis.Duration()) {
 		if w.fleet.alone() {
 			w.list(ctx)
