Go on with a graceful stop when SIGTERM is sent again

Change: only SIGINT gets its default back; a second SIGTERM changes nothing, a second SIGINT still ends the process at once.

--- a/io/cmds/command.go
+++ b/io/cmds/command.go
@@ -59,11 +59,13 @@
 
 // Main runs the command line args, without the program's name, and returns the
 // exit status: 0, 1 for a fault or 2 for a wrong command line. An interrupt or a
-// termination signal ends the command's context; a second one ends the process.
+// termination signal ends the command's context. A second interrupt ends the process;
+// a second termination signal changes nothing, because whoever supervises the process
+// may send it again while requests end.
 func Main(args []string, stdout, stderr io.Writer, b Backends) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, stop)
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	return Run(ctx, args, stdout, stderr, b)
 }
 
--- a/io/cmds/node.go
+++ b/io/cmds/node.go
@@ -42,8 +42,8 @@
 		usage: `hickoryrail node -config FILE
 
 Runs a node until SIGINT or SIGTERM, then stops it gracefully: requests in
-flight end first. A second signal ends it at once. The log goes to standard
-output as JSON lines.
+flight end first. A second SIGINT ends it at once; a second SIGTERM changes
+nothing. The log goes to standard output as JSON lines.
 
 Example:
   hickoryrail node -config a1.toml
