--- a/core/codec/codec.go
+++ b/core/codec/codec.go
@@ -1,4 +1,5 @@
-// Package codec provides the strict CBOR modes of hickoryrail's own formats.
+// Package codec provides the strict CBOR modes and the packing of hickoryrail's own
+// formats.
 package codec
 
 import "github.com/fxamacker/cbor/v2"
--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -42,9 +42,9 @@
 		MaxChanges int
 		// NeedSourceMillis is the wait for peers before the source is asked for.
 		NeedSourceMillis clock.Millis
-		// SourceMillis is the time that a node leaves to its own source before it asks
-		// neighbours for a whole release; deltas are asked for at once. 0 is for nodes
-		// that do not read the source themselves.
+		// SourceMillis is the time that a node without a release leaves to its own
+		// source before it asks neighbours. 0 is for nodes that do not read the source
+		// themselves.
 		SourceMillis clock.Millis
 		// MaxRegions bounds the regions whose pulses are kept.
 		MaxRegions int
@@ -60,7 +60,7 @@
 		FetchMillis:      1500,
 		BusyMillis:       300,
 		SilentMillis:     5 * clock.Second,
-		MaxSnapshots:     4,
+		MaxSnapshots:     16,
 		SnapshotMillis:   2 * clock.Second,
 		Recent:           16,
 		MaxChanges:       1000,
--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -5,10 +5,15 @@
 	"errors"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/codec"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 )
 
+// maxReleaseBytes bounds an encoded release; at 160 bytes a route it holds 100,000
+// routes.
+const maxReleaseBytes = 16 << 20
+
 var (
 	// errOther reports a release other than the one that was announced.
 	errOther = errors.New("release is not the announced one")
@@ -32,8 +37,6 @@
 	case SnapshotBody:
 		return n.takeSnapshot(now, from, p, m)
 	case Busy:
-		// A neighbour that leaves whole releases to the source has no delta.
-		n.fetch.whole = n.fetch.whole || n.config.SourceMillis > 0 && from == n.fetch.from
 		n.failed(now, from, n.jitter(n.config.BusyMillis))
 		return n.pursue(now)
 	}
@@ -91,10 +94,10 @@
 	return []Action{n.send(n.fetch.from, m)}
 }
 
-// leaveToSource reports whether a whole release is needed and the node's own source
-// still has time to provide it. The first time it asks for the source.
+// leaveToSource reports whether the node holds nothing yet and its own source still has
+// time to provide a release. The first time it asks for the source.
 func (n *Node) leaveToSource(now clock.Millis) (bool, []Action) {
-	if n.config.SourceMillis == 0 || n.held.Version > 0 && !n.fetch.whole {
+	if n.config.SourceMillis == 0 || n.held.Version > 0 {
 		return false, nil
 	}
 	var out []Action
@@ -122,9 +125,7 @@
 	}
 }
 
-// serve answers a Fetch with a delta, a snapshot, or a refusal. A node that holds a
-// release and reads the source itself gets no snapshot before it asks for a whole
-// release.
+// serve answers a Fetch with a delta, a snapshot, or a refusal.
 func (n *Node) serve(now clock.Millis, from ident.NodeID, m Message) []Action {
 	if n.held.Version <= m.Version {
 		return []Action{n.announce(now, from)}
@@ -132,14 +133,12 @@
 	if delta, ok := n.deltaFrom(m.Version, m.Digest); ok {
 		return []Action{n.send(from, Message{Kind: DeltaBody, Version: n.held.Version, Digest: n.held.Digest, Delta: &delta})}
 	}
-	_, again := n.serving[from]
-	leave := n.config.SourceMillis > 0 && m.Version > 0
-	if leave || !again && len(n.serving) >= n.config.MaxSnapshots {
+	if _, again := n.serving[from]; !again && len(n.serving) >= n.config.MaxSnapshots {
 		return []Action{n.send(from, Message{Kind: Busy, Version: n.held.Version, Digest: n.held.Digest})}
 	}
 	n.serving[from] = now
 	if n.body == nil {
-		n.body = model.EncodeRelease(n.held)
+		n.body = codec.Pack(model.EncodeRelease(n.held))
 	}
 	sum := ident.Sum(n.body)
 	return []Action{n.send(from, Message{
@@ -198,7 +197,11 @@
 	if sum := ident.Sum(m.Body); !bytes.Equal(sum[:], m.Sum) {
 		return model.Release{}, errSum
 	}
-	r, err := model.DecodeRelease(m.Body)
+	body, err := codec.Unpack(m.Body, maxReleaseBytes)
+	if err != nil {
+		return model.Release{}, err
+	}
+	r, err := model.DecodeRelease(body)
 	if err == nil && (r.Version != m.Version || r.Digest != m.Digest) {
 		err = errOther
 	}
--- a/core/spread/message.go
+++ b/core/spread/message.go
@@ -14,8 +14,7 @@
 	DeltaBody
 	// SnapshotBody carries a whole release.
 	SnapshotBody
-	// Busy refuses a Fetch, because too many snapshots are being served or because
-	// the asker can read the source itself.
+	// Busy refuses a Fetch, because too many snapshots are being served.
 	Busy
 
 	// kinds is the number of kinds.
@@ -57,7 +56,7 @@
 		Digest  ident.Digest
 		// Delta is set in DeltaBody.
 		Delta *model.Delta
-		// Body is an encoded release in SnapshotBody, and Sum its SHA-256 sum: the
+		// Body is an encoded and packed release in SnapshotBody, and Sum its SHA-256 sum: the
 		// release's own digest covers neither its version nor its edit id.
 		Body   []byte
 		Sum    []byte
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -52,8 +52,8 @@
 	// Near targets get nearly all calls, so that far ones show what they can do
 	// only when they are tried.
 	hostedStaleMillis = 10 * clock.Second
-	// hostedSourceMillis is the time for a node's own read of a whole release, which
-	// is cheaper than a snapshot from a neighbour in another failure domain.
+	// hostedSourceMillis is the time for the first read of the source, which every node
+	// that starts makes anyway.
 	hostedSourceMillis = 800 * clock.Millis(1)
 	// hostedFetchMillis is the wait for a delta from a neighbour that may have
 	// stopped; several fit into the time in which a release must be in force.
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -49,8 +49,8 @@
 )
 
 // watcher follows the source of releases, and finds the other nodes by the directory.
-// Every node reads the newest release when it starts and when its neighbours have no
-// delta for it; a few nodes of each failure domain also wait for changes.
+// Every node reads the newest release when it starts; a few nodes of each failure
+// domain also wait for changes.
 type watcher struct {
 	clock     clock.Clock
 	source    plat.Source
@@ -110,7 +110,7 @@
 }
 
 // rest waits until the node has to read the source: it has become one of those that
-// watch, its neighbours have no delta for it, or it has not read for long.
+// watch, its neighbours cannot provide a release, or it has not read for long.
 func (w *watcher) rest(ctx context.Context) {
 	until := w.clock.Now() + recheckMillis*clock.Millis(0.5+w.random.Float64()/2)
 	for !w.onDuty() && w.clock.Now() < until && ctx.Err() == nil {
