Give up a target that closes new connections

Cause: the client of the target replaced every stale connection by another one, also a new one that the target had closed at once.

Change: a new connection that is stale ends the attempt as not run.

TestTargetThatClosesNewConnections failed before.

--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -60,6 +60,8 @@
 		net.Conn
 		raw  syscall.RawConn
 		sent int
+		// used says that the connection has carried a request before.
+		used bool
 	}
 
 	// exchange is one request on one connection.
@@ -79,6 +81,8 @@
 var (
 	// errPipe reports a connection that is not a TCP connection.
 	errPipe = errors.New("connection to the target is not TCP")
+	// errClosed reports a new connection that the target has closed.
+	errClosed = errors.New("target closed a new connection")
 	// errNoLength reports an answer that ends with its connection.
 	errNoLength = errors.New("answer has neither a length nor chunks")
 	// errInterim reports an answer that never becomes final.
@@ -166,10 +170,15 @@
 		}
 		conn.sent = 0
 		if conn.SetDeadline(until) != nil || conn.stale() {
-			// Nothing was sent, so another connection can be used.
+			// Nothing was sent. An idle connection may be replaced; a target that
+			// closes a new one accepts no more.
 			t.client.CloseConn(cc)
-			continue
+			if conn.used {
+				continue
+			}
+			return nil, result.NewError(result.NotRun, reasonNoConnection, errClosed)
 		}
+		conn.used = true
 		resp, reusable, err := t.exchange(ctx, conn, r, until)
 		if reusable {
 			t.client.ReleaseConn(cc)
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"hickoryrail/core/limit"
+	"hickoryrail/io/wire"
 )
 
 // TestDyingTargetMayHaveRun guards against a repeated request, or a verdict of
@@ -132,3 +133,30 @@
 	defer target.mu.Unlock()
 	is.Equal(len(target.runs), 0)
 }
+
+// TestTargetThatClosesNewConnections guards against a loop of new connections to a
+// target that accepts no more and closes each at once.
+func TestTargetThatClosesNewConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	var accepted atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_, _ = c.Write([]byte("x")) // seen before the request is sent, unlike a close in the same instant
+			_ = c.Close()
+		}
+	}()
+	target := newTarget("t", l.Addr().String(), 4, Limits{HeaderBytes: 4096, BodyBytes: 4096}, &Dialect{})
+	for range 20 {
+		_, err = target.call(t.Context(), 0, 300, &wire.Request{Method: "GET", URI: []byte("/"), Idempotent: true})
+		is.True(err != nil)
+	}
+	is.True(accepted.Load() <= 20)
+}
