--- a/io/bench/route.go
+++ b/io/bench/route.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -152,39 +151,6 @@
 	{"expected size", 33, 790, 6, 7, 1.5},
 }
 
-func (s steps) Len() int { return len(s) }
-func (s steps) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].seq < s[j].seq
-}
-func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-
-// Push appends a step.
-func (s *steps) Push(x any) { *s = append(*s, x.(step)) }
-
-// Pop removes the last step.
-func (s *steps) Pop() any {
-	last := len(*s) - 1
-	x := (*s)[last]
-	(*s)[last] = step{}
-	*s = (*s)[:last]
-	return x
-}
-
-// at schedules a step at an instant.
-func (a *agenda) at(t clock.Millis, run func()) {
-	a.seq++
-	heap.Push(&a.steps, step{max(t, a.now), a.seq, run})
-}
-
-// runAll runs all steps in order of time.
-func (a *agenda) runAll() {
-	for a.steps.Len() > 0 {
-		s := heap.Pop(&a.steps).(step)
-		a.now = s.at
-		s.run()
-	}
-}
-
 // RouteChoice measures target choice against random choice and round robin with
 // the same arrivals and demands over a virtual time.
 func RouteChoice(virtual clock.Millis) *Table {
@@ -240,20 +206,6 @@
 	return r
 }
 
-// newChooser returns the chooser of one ingress.
-func newChooser(choice string, i int, d deployment) chooser {
-	random := rand.New(rand.NewPCG(routeSeed+1, uint64(i)))
-	switch choice {
-	case "random":
-		return &randomChooser{rand: random}
-	case "round robin":
-		return &turnChooser{next: i}
-	}
-	return &pickerChooser{route.Picker{
-		Self: ident.NodeID(fmt.Sprint("node-", i)), FailureDomain: domainName(i % d.domains), Region: "one", Rand: random,
-	}}
-}
-
 // domainName returns the name of a failure domain of the model.
 func domainName(i int) ident.FailureDomain {
 	return ident.FailureDomain(fmt.Sprint("fd-", i))
@@ -424,57 +376,3 @@
 		r.mayHaveRun++
 	}
 }
-
-// pick chooses by power of two choices.
-func (p *pickerChooser) pick(now clock.Millis, exclude []ident.TargetID) (view.Target, bool) {
-	c, ok := p.picker.Pick(now, serviceName, exclude)
-	return c.Target, ok
-}
-
-// done passes the outcome on.
-func (p *pickerChooser) done(now clock.Millis, id ident.TargetID, o route.Outcome) {
-	p.picker.Done(now, id, o)
-}
-
-// setView passes the view on.
-func (p *pickerChooser) setView(now clock.Millis, v *view.View) {
-	p.picker.SetView(now, v)
-}
-
-// pick chooses at random.
-func (c *randomChooser) pick(_ clock.Millis, exclude []ident.TargetID) (view.Target, bool) {
-	start := c.rand.IntN(len(c.targets))
-	return scan(c.targets, start, exclude)
-}
-
-// done ignores the outcome.
-func (c *randomChooser) done(clock.Millis, ident.TargetID, route.Outcome) {}
-
-// setView takes the targets.
-func (c *randomChooser) setView(_ clock.Millis, v *view.View) {
-	c.targets = v.Targets(serviceName)
-}
-
-// pick chooses the next in turn.
-func (c *turnChooser) pick(_ clock.Millis, exclude []ident.TargetID) (view.Target, bool) {
-	c.next++
-	return scan(c.targets, c.next%len(c.targets), exclude)
-}
-
-// done ignores the outcome.
-func (c *turnChooser) done(clock.Millis, ident.TargetID, route.Outcome) {}
-
-// setView takes the targets.
-func (c *turnChooser) setView(_ clock.Millis, v *view.View) {
-	c.targets = v.Targets(serviceName)
-}
-
-// scan returns the first target from start on that is not excluded.
-func scan(targets []view.Target, start int, exclude []ident.TargetID) (view.Target, bool) {
-	for i := range targets {
-		if t := targets[(start+i)%len(targets)]; !slices.Contains(exclude, t.ID) {
-			return t, true
-		}
-	}
-	return view.Target{}, false
-}
--- /dev/null
+++ b/io/proxy/attempt.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/result"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/view"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/wire"
+)
+
+// tryHedged makes an attempt and, if it is slow, a second one. The first answer
+// wins and cancels the other attempt.
+func (in *Ingress) tryHedged(ctx context.Context, cancel context.CancelFunc, c *call, choice route.Choice, at clock.Millis) *wire.Response {
+	h := &hedge{result: make(chan *wire.Response, 1)}
+	sent := c.state.Sent
+	timer := time.AfterFunc((at - in.Clock.Now()).Duration(), func() { in.startHedge(c, h, cancel, sent+1) })
+	resp := in.attempt(ctx, c, choice, sent)
+	timer.Stop()
+	h.mu.Lock()
+	h.closed = true
+	started := h.started
+	h.mu.Unlock()
+	if !started {
+		return resp
+	}
+	c.state.Start(in.Clock.Now())
+	if resp.Verdict == result.Ran {
+		h.stop()
+		c.state.End(result.Ran)
+		return resp
+	}
+	other := <-h.result
+	h.stop()
+	if other.Verdict == result.NotRun {
+		resp, other = other, resp
+	}
+	c.state.End(resp.Verdict)
+	return other
+}
+
+// startHedge starts the second attempt unless the first has ended, the policy
+// refuses or there is no other target.
+func (in *Ingress) startHedge(c *call, h *hedge, cancelFirst context.CancelFunc, number int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	if len(c.view.Targets(c.route.Service)) <= len(c.tried) {
+		return // asking the policy would spend tokens for nothing
+	}
+	now := in.Clock.Now()
+	in.mu.Lock()
+	d := in.Policy.Hedge(now, c.state)
+	var choice route.Choice
+	ok := d.Kind == retry.Hedge
+	if ok {
+		choice, ok = in.Picker.Pick(now, c.route.Service, c.tried)
+	}
+	in.mu.Unlock()
+	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
+	if !ok {
+		return
+	}
+	in.metrics.hedges.Inc()
+	ctx, stop := context.WithTimeout(c.ctx, (c.deadline - now).Duration())
+	h.started, h.stop = true, stop
+	in.group.Go(func() {
+		resp := in.attempt(ctx, c, choice, number)
+		h.result <- resp
+		if resp.Verdict == result.Ran {
+			cancelFirst()
+		}
+	})
+}
+
+// attempt sends one attempt to the chosen gate and reports its outcome to the
+// picker.
+func (in *Ingress) attempt(ctx context.Context, c *call, choice route.Choice, number int) *wire.Response {
+	in.metrics.attempts.Inc()
+	sent := in.Clock.Now()
+	r := c.request
+	r.ID = ident.RequestID(c.id + "-" + strconv.Itoa(number))
+	r.Repeated = c.repeated || c.state.Arrivals > 0
+	r.Gate, r.Target, r.Attempt = choice.Target.Gate, choice.Target.ID, number
+	left := c.deadline - sent
+	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
+	if r.HasGoal {
+		r.GoalMillis = c.began + c.route.GoalMillis - sent
+	}
+	var resp *wire.Response
+	var err error
+	if choice.Target.Node == in.Self && in.Gateway != nil {
+		resp = in.Gateway.Forward(ctx, &r)
+	} else {
+		resp, err = in.send(ctx, choice.Target, &r)
+	}
+	now := in.Clock.Now()
+	o := route.Outcome{Delay: now - sent, Gate: choice.Target.Gate}
+	if err != nil {
+		// A call that this node gave up says nothing about its target.
+		o.Failed = ctx.Err() == nil || now >= c.deadline
+		resp = in.failed(c, choice.Target, &r, err)
+	} else {
+		o.Failed = failedAtTarget(resp)
+		o.Load, o.HasLoad = resp.Load, true
+	}
+	o.Verdict = resp.Verdict
+	in.mu.Lock()
+	in.Picker.Done(now, choice.Target.ID, o)
+	in.drainEvents()
+	in.mu.Unlock()
+	return resp
+}
+
+// send sends an attempt to another node.
+func (in *Ingress) send(ctx context.Context, t view.Target, r *wire.Request) (*wire.Response, error) {
+	if in.Peers == nil {
+		return nil, result.NewError(result.NotRun, reasonNoPeers, nil)
+	}
+	body, err := in.Peers.Call(ctx, t.Node, t.Address, encode(wire.Call{Request: r}))
+	if err != nil {
+		return nil, err
+	}
+	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
+	if err != nil || a.Response == nil {
+		return nil, result.NewError(result.MayHaveRun, reasonMalformed, err)
+	}
+	return a.Response, nil
+}
+
+// failed returns the outcome of an attempt that got no answer from its gate. An
+// action that may have run is voided on a fresh connection while there is time.
+func (in *Ingress) failed(c *call, t view.Target, r *wire.Request, err error) *wire.Response {
+	resp := &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
+	now := in.Clock.Now()
+	if resp.Verdict == result.NotRun {
+		return resp
+	}
+	resp.Verdict = result.MayHaveRun
+	if now >= c.deadline {
+		resp.Reason = reasonDeadline
+		return resp
+	}
+	if r.Idempotent || c.ctx.Err() != nil {
+		return resp
+	}
+	in.metrics.voids.Inc()
+	left := c.deadline - now
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	v := wire.Void{ID: r.ID, Gate: r.Gate, RemainingMillis: max(left-min(hopMillis, left*hopShare), 0)}
+	body, err := in.Peers.CallFresh(ctx, t.Node, t.Address, encode(wire.Call{Void: &v}))
+	if err != nil {
+		return resp
+	}
+	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
+	switch {
+	case err != nil:
+		return resp
+	case a.Response != nil:
+		return a.Response
+	case a.Voided.Verdict == result.NotRun:
+		in.record(logs.Retry, in.Clock.Now(), c, r.Attempt, t.ID, result.NotRun, reasonVoid)
+		resp.Verdict = result.NotRun
+	}
+	return resp
+}
+
+// failedAtTarget reports whether a gate's response is evidence against its
+// target. A refusal by a full or draining gate is not.
+func failedAtTarget(resp *wire.Response) bool {
+	switch resp.Verdict {
+	case result.Ran:
+		return resp.Status >= failureStatus
+	case result.NotRun:
+		return resp.Reason == reasonNoConnection || resp.Reason == reasonNoBytes
+	}
+	return resp.Reason != reasonGaveUp
+}
--- /dev/null
+++ b/io/proxy/gatecall.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"hickoryrail/core/admit"
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/once"
+	"hickoryrail/core/result"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/wire"
+)
+
+// arrive checks the call's address, records it at the fence and asks the gate
+// for a slot. It returns the target, or else the response or the kept answer to
+// a call that never gets to the gate.
+func (g *Gateway) arrive(now, deadline clock.Millis, c *gateCall) (*target, *wire.Response, []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := c.request
+	switch {
+	case g.target == nil:
+		return nil, g.refuse(now, r, result.NotRun, reasonNoTarget), nil
+	case r.Target != g.target.id:
+		return nil, g.refuse(now, r, result.NotRun, reasonOtherTarget), nil
+	}
+	a := g.fence.Arrive(now, r.Gate, r.ID)
+	switch a.Kind {
+	case once.Refuse:
+		return nil, g.refuse(now, r, a.Verdict, a.Reason), nil
+	case once.Replay:
+		g.record(now, r, a.Verdict, a.Reason)
+		return nil, nil, a.Response
+	}
+	g.calls[r.ID] = c
+	if r.CallerID != "" {
+		g.running[r.CallerID] = c
+	}
+	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline}
+	if r.HasGoal {
+		call.Goal = now + r.GoalMillis
+	}
+	g.apply(now, g.gate.Arrive(now, call))
+	if !c.decided {
+		c.wake = make(chan struct{})
+		if g.gate.Next() < g.tickAt {
+			select {
+			case g.earlier <- struct{}{}:
+			default: // Run has not taken the last one yet
+			}
+		}
+	}
+	return g.target, nil, nil
+}
+
+// refuse answers a call that does not get to the gate. The caller holds mu.
+func (g *Gateway) refuse(now clock.Millis, r *wire.Request, v result.Verdict, reason string) *wire.Response {
+	g.record(now, r, v, reason)
+	return &wire.Response{Verdict: v, Reason: reason, Load: g.gate.Load()}
+}
+
+// cancel withdraws a call that may still wait.
+func (g *Gateway) cancel(id ident.RequestID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.apply(now, g.gate.Cancel(now, id))
+}
+
+// end frees the slot of a started call and tells the fence the outcome. It
+// returns the encoded answer if that is kept.
+func (g *Gateway) end(c *gateCall, resp *wire.Response, now, took clock.Millis, keep bool) []byte {
+	id := c.request.ID
+	g.mu.Lock()
+	g.apply(now, g.gate.Finish(now, id, took))
+	resp.Load = g.gate.Load()
+	var kept []byte
+	if keep && resp.Verdict == result.Ran {
+		// The slot is free for others while the answer is encoded.
+		g.mu.Unlock()
+		kept = encode(wire.Answer{Response: resp})
+		g.mu.Lock()
+	}
+	g.fence.Finish(now, id, resp.Verdict, kept)
+	if c.action.Kind == admit.Start {
+		g.Log.Record(logs.Decision{
+			At: now, Kind: logs.Admit, Request: id, Route: c.request.Route, Target: c.request.Target, Node: g.Self,
+			Verdict: resp.Verdict, Attempt: c.request.Attempt, Reason: reasonEnded, Took: took, Wait: now - took - c.arrived,
+		})
+	}
+	delete(g.calls, id)
+	if g.running[c.request.CallerID] == c {
+		delete(g.running, c.request.CallerID)
+	}
+	if c.ended != nil {
+		close(c.ended)
+	}
+	g.mu.Unlock()
+	g.metrics.verdicts[resp.Verdict].Inc()
+	if took > 0 {
+		g.metrics.run.Observe(took.Duration().Seconds())
+	}
+	return kept
+}
+
+// apply hands the gate's actions to the calls. The caller holds mu.
+func (g *Gateway) apply(now clock.Millis, actions []admit.Action) {
+	for _, a := range actions {
+		if a.Kind == admit.Drained {
+			if g.drained != nil {
+				close(g.drained)
+			}
+			continue
+		}
+		c := g.calls[a.ID]
+		v := result.MayHaveRun
+		if a.Kind == admit.Refuse {
+			v = result.NotRun
+			g.metrics.refused[c.request.Class].Inc()
+		} else {
+			g.metrics.started[c.request.Class].Inc()
+		}
+		g.record(now, c.request, v, a.Reason)
+		c.action, c.decided = a, true
+		if c.wake != nil {
+			close(c.wake)
+		}
+	}
+}
+
+// record writes a line to the decision log.
+func (g *Gateway) record(now clock.Millis, r *wire.Request, v result.Verdict, reason string) {
+	load := g.gate.Load()
+	g.Log.Record(logs.Decision{
+		At: now, Kind: logs.Admit, Request: r.ID, Route: r.Route, Target: r.Target,
+		Node: g.Self, Verdict: v, Attempt: r.Attempt, Reason: reason,
+		HasLoad: true, Free: load.Free, Queued: load.Queued,
+	})
+}
+
+// encode returns a message in CBOR.
+func encode[T any](m T) []byte {
+	body, err := wire.Encode(m)
+	if err != nil {
+		panic(err) // every field of a call or answer has an encoding
+	}
+	return body
+}
