Let calls wait a moment for the node's first configuration

Change: a call waits for the first view like it waits for the first targets of its service: at most a quarter of its timeout, in the first second of the node.

TestCallsWaitForFirstView failed before.

--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -24,12 +24,6 @@
 	hopMillis = 2 * clock.Millis(1)
 	// hopShare bounds hopMillis as a share of the remaining time.
 	hopShare = 0.1
-	// startMillis is the time after the start in which a call waits for the first
-	// targets of its service, startShare the part of its timeout that it waits at
-	// most, and startPoll the interval at which it looks.
-	startMillis = 1 * clock.Second
-	startShare  = 0.25
-	startPoll   = 10 * time.Millisecond
 	// failureStatus is the least status of an answer that reports a failure of the
 	// target.
 	failureStatus = 500
@@ -127,20 +121,6 @@
 	}
 }
 
-// awaitTargets waits a moment for the first targets of a service and reports whether
-// to choose again. A node that has just started learns of targets within a few tenths
-// of a second; refusing its callers until then would cost them a way back.
-func (in *Ingress) awaitTargets(c *call, choice route.Choice) bool {
-	now := in.Clock.Now()
-	limit := min(in.opened+startMillis, c.deadline-c.timeout+c.timeout*startShare)
-	if choice.Reason != route.ReasonNoTargets || now >= limit || c.ctx.Err() != nil {
-		return false
-	}
-	c.waits = true
-	time.Sleep(startPoll)
-	return true
-}
-
 // pick chooses the target of the next attempt, one that was not tried if there
 // is any.
 func (in *Ingress) pick(c *call) (route.Choice, bool) {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -288,10 +288,7 @@
 		in.reply(ctx, notRun(reasonRate), now)
 		return
 	}
-	c, refusal := in.newCall(ctx, now)
-	if c != nil {
-		c.ctx = caller
-	}
+	c, refusal := in.newCall(caller, ctx, now)
 	if refusal != nil {
 		in.refused(ctx, refusal, now)
 		in.reply(ctx, refusal, now)
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -185,7 +185,7 @@
 	request.SetBodyString("body")
 	var ctx fasthttp.RequestCtx
 	ctx.Init(&request, nil, nil)
-	c, refusal := in.newCall(&ctx, in.Clock.Now())
+	c, refusal := in.newCall(context.Background(), &ctx, in.Clock.Now())
 	is.True(refusal == nil)
 	before := encode(c.request)
 	h := &ctx.Request.Header
@@ -416,6 +416,30 @@
 	is.True(!h.started) // no other target is left
 }
 
+// TestCallsWaitForFirstView guards against a node that has just started and refuses
+// calls a moment before it gets its configuration, and against a wait at a node that
+// has been without one for long.
+func TestCallsWaitForFirstView(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newStandIn(t))
+	in := newIngress(t, f)
+	in.view.Store(nil)
+	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
+	defer later.Stop()
+	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	in.view.Store(nil)
+	in.mu.Lock()
+	in.opened -= startMillis
+	in.mu.Unlock()
+	began := time.Now()
+	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.True(time.Since(began) < 100*time.Millisecond)
+}
+
 // TestCallsWaitForFirstTargets guards against a node that has just started and
 // refuses calls a moment before it learns of the first target, and against a wait at
 // a node that has been up for long.
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"strconv"
@@ -17,8 +18,12 @@
 
 // newCall routes a request and copies it. It returns the refusal of a request
 // that cannot be routed.
-func (in *Ingress) newCall(ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
-	v := in.view.Load()
+func (in *Ingress) newCall(caller context.Context, ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
+	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), model.MaxTimeoutMillis)
+	if !ok {
+		return nil, notRun(reasonTimeout)
+	}
+	v := in.awaitView(caller, now, left)
 	if v == nil {
 		return nil, notRun(reasonNoView)
 	}
@@ -26,10 +31,6 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.Timeout), model.MaxTimeoutMillis)
-	if !ok {
-		return nil, notRun(reasonTimeout)
-	}
 	timeout := min(left, r.TimeoutMillis)
 	if len(ctx.Request.Header.Peek(headerKey)) > maxKeyBytes {
 		return nil, notRun(reasonKeyLength)
@@ -40,7 +41,7 @@
 	waited := in.patience.Waited(now, r.Name, left)
 	in.mu.Unlock()
 	c := &call{
-		view: v, route: r, began: now - waited, timeout: timeout, deadline: now + timeout, id: in.nextID(),
+		ctx: caller, view: v, route: r, began: now - waited, timeout: timeout, deadline: now + timeout, id: in.nextID(),
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
 			HasGoal: r.GoalMillis > 0,
