--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -34,6 +34,8 @@
 	ReasonWait = "expected wait exceeds the deadline"
 	// ReasonExpired is a refusal of a call whose deadline has passed.
 	ReasonExpired = "deadline passed before the start"
+	// ReasonBusy is a refusal of a call that may not wait.
+	ReasonBusy = "no free slot, and the call may not wait"
 	// ReasonCancelled is a refusal of a waiting call that its caller gave up.
 	ReasonCancelled = "cancelled while waiting"
 )
@@ -80,6 +82,8 @@
 		Goal clock.Millis
 		// Deadline is the instant after which an answer is worthless.
 		Deadline clock.Millis
+		// NoWait refuses the call unless a slot is free.
+		NoWait bool
 	}
 
 	// queue holds the waiting calls of a gate.
@@ -163,6 +167,8 @@
 	case g.free() > 0:
 		g.start(now, c)
 		return append(actions, Action{Kind: Start, ID: c.ID, Reason: ReasonFree})
+	case c.NoWait:
+		return append(actions, refuse(c.ID, ReasonBusy))
 	}
 	return g.queue().push(now, c, actions)
 }
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -335,3 +335,15 @@
 	g.Finish(40, "runs", 40) // the average follows the first measured run time
 	is.Equal(g.Arrive(40, Call{ID: "slow", Class: model.Action, Deadline: 70}), []Action{refuse("slow", ReasonWait)})
 }
+
+// TestNoWait guards against a call that waits although it only looks for a free slot,
+// and against a refusal while there is one.
+func TestNoWait(t *testing.T) {
+	is := is.New(t)
+	g := &Gate{Order: ByGoal, Slots: 1, Connections: 1, QueueLength: 4, RunMillis: 10}
+	is.Equal(g.Arrive(0, Call{ID: "a", Deadline: 1000, NoWait: true})[0].Kind, Start)
+	refused := g.Arrive(1, Call{ID: "b", Deadline: 1000, NoWait: true})
+	is.Equal(refused[0], Action{Kind: Refuse, ID: "b", Reason: ReasonBusy})
+	is.Equal(len(g.Arrive(2, Call{ID: "c", Deadline: 1000})), 0)
+	is.Equal(g.Finish(3, "a", 3)[0].ID, ident.RequestID("c"))
+}
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -62,6 +62,8 @@
 		Sent int
 		// Arrivals counts the attempts that got to a target, or may have.
 		Arrivals int
+		// Looks counts the attempts that a gate refused because they were not to wait.
+		Looks int
 		// Outstanding counts the attempts without an outcome.
 		Outstanding int
 		// Uncertain says that an earlier attempt's verdict was MayHaveRun.
@@ -194,7 +196,7 @@
 	if p.Share == nil {
 		return a.Sent >= p.attempts(a.Route)
 	}
-	return a.Arrivals >= p.attempts(a.Route) || a.Sent-a.Arrivals >= maxRefusals
+	return a.Arrivals >= p.attempts(a.Route) || a.Sent-a.Arrivals-a.Looks >= maxRefusals
 }
 
 // take pays for another attempt.
--- a/io/logs/filter.go
+++ b/io/logs/filter.go
@@ -1,6 +1,9 @@
 package logs
 
-import "hickoryrail/core/result"
+import (
+	"hickoryrail/core/admit"
+	"hickoryrail/core/result"
+)
 
 const (
 	// All passes every decision.
@@ -48,8 +51,11 @@
 // target or a start at a gate has no verdict yet, so MayHaveRun, the zero
 // verdict, does not count for those kinds.
 func (d *Decision) Problem() bool {
-	if d.Kind == Answer {
+	switch {
+	case d.Kind == Answer:
 		return d.Verdict != result.Ran || d.Status >= failureStatus
+	case d.Reason == admit.ReasonBusy:
+		return false // the call goes on looking at other targets
 	}
 	return d.Kind >= Retry || d.Verdict == result.NotRun
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
@@ -81,6 +82,17 @@
 	})
 }
 
+// looks reports whether the next attempt of a call only looks for a free slot.
+func (in *Ingress) looks(c *call) bool {
+	if in.Search == nil {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	others := len(c.view.Targets(c.route.Service)) - len(c.tried)
+	return in.Search.Looks(c.route.Service, c.state.Looks, max(others, 0))
+}
+
 // attempt sends one attempt to the chosen gate and reports its outcome to the
 // picker.
 func (in *Ingress) attempt(ctx context.Context, c *call, choice route.Choice, number int) *wire.Response {
@@ -89,6 +101,7 @@
 	r := c.request
 	r.ID = ident.RequestID(c.id + "-" + strconv.Itoa(number))
 	r.Repeated = c.repeated || c.state.Arrivals > 0
+	r.NoWait = in.looks(c)
 	r.Gate, r.Target, r.Attempt = choice.Target.Gate, choice.Target.ID, number
 	left := c.deadline - sent
 	r.RemainingMillis = max(left-min(hopMillis, left*hopShare), 0)
@@ -115,6 +128,9 @@
 	o.Verdict = resp.Verdict
 	in.mu.Lock()
 	in.Picker.Done(now, choice.Target.ID, o)
+	if r.NoWait && o.Verdict != result.MayHaveRun {
+		in.Search.Looked(c.route.Service, resp.Reason != admit.ReasonBusy)
+	}
 	in.drainEvents()
 	in.mu.Unlock()
 	return resp
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
@@ -147,8 +148,11 @@
 func (in *Ingress) decide(c *call, resp *wire.Response) retry.Decision {
 	now := in.Clock.Now()
 	c.state.End(resp.Verdict)
-	if resp.Arrived || resp.Verdict != result.NotRun {
+	switch {
+	case resp.Arrived || resp.Verdict != result.NotRun:
 		c.state.Arrivals++
+	case resp.Reason == admit.ReasonBusy:
+		c.state.Looks++
 	}
 	in.mu.Lock()
 	var d retry.Decision
@@ -158,7 +162,8 @@
 		d = in.Policy.Decide(now, c.state, resp.Verdict)
 	}
 	in.mu.Unlock()
-	if resp.Verdict != result.Ran || d.Kind == retry.Retry {
+	looks := resp.Reason == admit.ReasonBusy && d.Kind == retry.Retry
+	if !looks && (resp.Verdict != result.Ran || d.Kind == retry.Retry) {
 		in.record(logs.Retry, now, c, c.state.Sent, "", resp.Verdict, d.Reason)
 	}
 	return d
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -92,6 +92,8 @@
 		// refused.
 		Store  plat.Store
 		Limits Limits
+		// Search, if set, lets attempts look for a free slot before they wait.
+		Search *route.Search
 		// Dialect is what callers and targets speak.
 		Dialect Dialect
 		// Service is that of the target beside the node, where its requests begin.
@@ -121,7 +123,7 @@
 		// group holds hedges and stores of outcomes, which outlive their handler.
 		group conc.WaitGroup
 
-		// mu guards Picker, Policy, split, patience and events; it is never held
+		// mu guards Picker, Policy, Search, split, patience and events; it is never held
 		// while waiting.
 		mu    sync.Mutex
 		split route.Split
@@ -203,6 +205,9 @@
 	in.Picker.SetView(in.Clock.Now(), v)
 	in.split.Keep(v.HasRoute)
 	in.patience.Keep(v.HasRoute)
+	if in.Search != nil {
+		in.Search.Keep(func(name ident.ServiceName) bool { _, ok := v.Service(name); return ok })
+	}
 	in.mu.Unlock()
 	in.view.Store(v)
 }
