Let a call that looks wait a short time

Change: a gate refuses a looking call only if its expected wait is above 0.15 of the time to its goal.

A rank above the last one no longer gets past the bound.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -34,8 +34,8 @@
 	ReasonWait = "expected wait exceeds the deadline"
 	// ReasonExpired is a refusal of a call whose deadline has passed.
 	ReasonExpired = "deadline passed before the start"
-	// ReasonBusy is a refusal of a call that may not wait.
-	ReasonBusy = "no free slot, and the call may not wait"
+	// ReasonBusy is a refusal of a call that looks for a free slot.
+	ReasonBusy = "no free slot soon, and the call looks for one"
 	// ReasonCancelled is a refusal of a waiting call that its caller gave up.
 	ReasonCancelled = "cancelled while waiting"
 )
@@ -51,6 +51,10 @@
 const (
 	// actionRoom is the number of actions that need no new memory.
 	actionRoom = 16
+	// lookShare is the part of the time to its goal that a call which looks for a
+	// free slot may wait for one. A short wait costs less than the way to another
+	// failure domain.
+	lookShare = 0.15
 	// runWeight is the weight of the newest run time in its moving average.
 	runWeight = 0.1
 )
@@ -82,8 +86,8 @@
 		Goal clock.Millis
 		// Deadline is the instant after which an answer is worthless.
 		Deadline clock.Millis
-		// NoWait refuses the call unless a slot is free.
-		NoWait bool
+		// Looks refuses the call unless a slot is free now or soon.
+		Looks bool
 	}
 
 	// queue holds the waiting calls of a gate.
@@ -94,6 +98,8 @@
 		pop(now clock.Millis) (Call, string)
 		// expire refuses the calls that must not wait any longer.
 		expire(now clock.Millis, actions []Action) []Action
+		// wait returns how long c would wait behind the calls that go before it.
+		wait(c Call) clock.Millis
 		// remove removes a call and reports whether it waited.
 		remove(id ident.RequestID) bool
 		// clear removes and refuses every call.
@@ -157,6 +163,7 @@
 // waits is ignored, since starting it would run the request twice.
 func (g *Gate) Arrive(now clock.Millis, c Call) []Action {
 	actions := g.advance(now, g.buffer())
+	c.Rank = min(c.Rank, LastRank)
 	switch {
 	case g.holds(c.ID):
 		return actions
@@ -167,7 +174,7 @@
 	case g.free() > 0:
 		g.start(now, c)
 		return append(actions, Action{Kind: Start, ID: c.ID, Reason: ReasonFree})
-	case c.NoWait:
+	case c.Looks && g.queue().wait(c) > lookShare*(c.goal()-now):
 		return append(actions, refuse(c.ID, ReasonBusy))
 	}
 	return g.queue().push(now, c, actions)
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -49,7 +49,6 @@
 
 // push queues c if it can be answered by its goal, or among the few late calls.
 func (q *goalQueue) push(now clock.Millis, c Call, actions []Action) []Action {
-	c.Rank = min(c.Rank, LastRank)
 	end := now + q.wait(c) + q.expected(c.Rank)
 	switch {
 	case end > c.Deadline:
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -35,7 +35,7 @@
 	if r.CallerID != "" {
 		g.running[r.CallerID] = c
 	}
-	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline, NoWait: r.NoWait}
+	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline, Looks: r.Looks}
 	if r.HasGoal {
 		call.Goal = now + r.GoalMillis
 	}
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -52,8 +52,8 @@
 		URI             []byte
 		Headers         Headers
 		Body            []byte
-		// NoWait refuses the attempt unless a slot is free.
-		NoWait bool
+		// Looks refuses the attempt unless a slot is free now or soon.
+		Looks bool
 	}
 
 	// Response is the outcome of one attempt. Status, Headers and Body are set
