--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -309,33 +309,6 @@
 // served is a target that notes what happens to it.
 type served struct{ events []string }
 
-func (s *served) note(event string) error { s.events = append(s.events, event); return nil }
-
-func (s *served) Open() error     { return s.note("open") }
-func (s *served) Address() string { return "127.0.0.1:1" }
-
-func (s *served) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return s.note("stop")
-}
-
-func (s *served) Drain(ctx context.Context) error {
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return s.note("drain")
-}
-
-// TestTarget guards against a target that stops before its drain.
-func TestTarget(t *testing.T) {
-	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	s := &served{}
-	is.NoErr(runTarget(ctx, s, io.Discard))
-	is.Equal(s.events, []string{"open", "drain", "stop"})
-}
-
 // TestWatch guards against a watch that ends before every live node holds the
 // release, or that waits for a dead one.
 func TestWatch(t *testing.T) {
@@ -364,28 +337,6 @@
 	is.True(!progressOf(1, nil).done())                 // a fleet that is not known is not done
 }
 
-// TestKeys guards against keys that replace existing ones or do not load.
-func TestKeys(t *testing.T) {
-	is := is.New(t)
-	directory := filepath.Join(t.TempDir(), "keys")
-	for _, c := range []struct {
-		line   []string
-		status int
-	}{
-		{[]string{"keys", "-directory", directory, "-nodes", "a1, a2"}, 0},
-		{[]string{"keys", "-directory", directory, "-nodes", "a1"}, 1},
-		{[]string{"keys", "-directory", directory, "-nodes", "a3", "-add"}, 0},
-		{[]string{"keys", "-directory", directory, "-nodes", "a3", "-add"}, 1},
-	} {
-		status, _, _ := run(c.line...)
-		is.Equal(status, c.status)
-	}
-	for _, n := range []ident.NodeID{"a1", "a2", "a3"} {
-		_, err := keys.LoadIdentity(directory, n)
-		is.NoErr(err)
-	}
-}
-
 // TestExamples guards against an example that is no longer accepted or that lacks
 // a service of its deployment.
 func TestExamples(t *testing.T) {
--- a/io/proxy/path_test.go
+++ b/io/proxy/path_test.go
@@ -3,14 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"iter"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,7 +18,6 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
-	"hickoryrail/core/view"
 	"hickoryrail/io/keys"
 	"hickoryrail/io/peer"
 	"hickoryrail/io/plat"
@@ -205,95 +202,6 @@
 	}
 }
 
-// TestDrainCutsNoRequest guards against a stop that cuts a request in flight or
-// closes a connection on a request without an answer.
-func TestDrainCutsNoRequest(t *testing.T) {
-	is := is.New(t)
-	target := newStandIn(t)
-	in := newIngress(t, newFleet(t, 64, target))
-	const workers = 16
-	var ran atomic.Int64
-	var warm, group sync.WaitGroup
-	warm.Add(workers)
-	for w := range workers {
-		group.Go(func() {
-			c := &http.Client{Transport: &http.Transport{}}
-			defer c.CloseIdleConnections()
-			for i := 0; ; i++ {
-				if i == 10 {
-					warm.Done()
-				}
-				body := fmt.Sprint(w, " ", i)
-				resp, got, err := send(c, in, "/order/slow?ms=2", body)
-				switch {
-				case errors.Is(err, syscall.ECONNREFUSED):
-					return
-				case err != nil:
-					t.Errorf("request was cut: %v", err)
-					return
-				case resp.Header.Get(headerVerdict) == "NotRun":
-					if target.runsOf(body) != 0 {
-						t.Errorf("refused request ran")
-					}
-					return
-				case got != body:
-					t.Errorf("got %q", got)
-				}
-				ran.Add(1)
-				time.Sleep(time.Duration(w) * time.Millisecond) // the connection is idle
-			}
-		})
-	}
-	warm.Wait()
-	is.NoErr(in.Drain(context.Background()))
-	group.Wait()
-	target.mu.Lock()
-	defer target.mu.Unlock()
-	is.Equal(int64(len(target.runs)), ran.Load()) // every request that ran was answered
-}
-
-// TestGatewayDrainFinishesCalls guards against a drain that cuts or outlives the
-// running calls, runs waiting ones, or lets new ones in.
-func TestGatewayDrainFinishesCalls(t *testing.T) {
-	is := is.New(t)
-	target := newStandIn(t)
-	f := newFleet(t, 2, target)
-	in := newIngress(t, f)
-	g := f.gateways["node-0"]
-	verdicts := make(chan string, 8)
-	for i := range 4 {
-		go func() {
-			resp, _, err := send(http.DefaultClient, in, "/order/hold", fmt.Sprint("held ", i))
-			if err != nil {
-				verdicts <- err.Error()
-				return
-			}
-			verdicts <- resp.Header.Get(headerVerdict)
-		}()
-	}
-	for g.Load().Queued < 2 || target.open.Load() < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	drained := make(chan error, 1)
-	go func() { drained <- g.Drain(context.Background()) }()
-	is.Equal(<-verdicts, "NotRun") // the two that wait
-	is.Equal(<-verdicts, "NotRun")
-	resp, _, err := send(http.DefaultClient, in, "/order/echo", "new")
-	is.NoErr(err)
-	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
-	select {
-	case <-drained:
-		t.Fatal("drain ended while calls run")
-	default:
-	}
-	close(target.release)
-	is.Equal(<-verdicts, "Ran")
-	is.Equal(<-verdicts, "Ran")
-	is.NoErr(<-drained)
-	is.Equal(target.peak, int64(2)) // after the last handler
-	is.Equal(g.Announce(Announcement{Target: "target-0", Address: target.address, Slots: 2, Connections: 2}), ErrDraining)
-}
-
 // TestKeyedRequestRunsOnce guards against running a resubmitted action again,
 // and against running one whose key could not be claimed.
 func TestKeyedRequestRunsOnce(t *testing.T) {
@@ -415,49 +323,3 @@
 	in.startHedge(r, &h, nil, 2)
 	is.True(!h.started) // no other target is left
 }
-
-// TestCallsWaitForFirstView guards against a node that has just started and refuses
-// calls a moment before it gets its configuration, and against a wait at a node that
-// has been without one for long.
-func TestCallsWaitForFirstView(t *testing.T) {
-	is := is.New(t)
-	f := newFleet(t, 4, newStandIn(t))
-	in := newIngress(t, f)
-	in.view.Store(nil)
-	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
-	defer later.Stop()
-	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, 200)
-	in.view.Store(nil)
-	in.mu.Lock()
-	in.opened -= startMillis
-	in.mu.Unlock()
-	began := time.Now()
-	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, 503)
-	is.True(time.Since(began) < 100*time.Millisecond)
-}
-
-// TestCallsWaitForFirstTargets guards against a node that has just started and
-// refuses calls a moment before it learns of the first target, and against a wait at
-// a node that has been up for long.
-func TestCallsWaitForFirstTargets(t *testing.T) {
-	is := is.New(t)
-	f := newFleet(t, 4, newStandIn(t))
-	in := newIngress(t, f)
-	in.SetView(view.Build(f.view.Release(), nil), 1)
-	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
-	defer later.Stop()
-	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, 200)
-	in.SetView(view.Build(f.view.Release(), nil), 1)
-	in.mu.Lock()
-	in.opened -= startMillis
-	in.mu.Unlock()
-	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, 503)
-}
--- /dev/null
+++ b/io/proxy/start_test.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/view"
+)
+
+// TestCallsWaitForFirstView guards against a node that has just started and refuses
+// calls a moment before it gets its configuration, and against a wait at a node that
+// has been without one for long.
+func TestCallsWaitForFirstView(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newStandIn(t))
+	in := newIngress(t, f)
+	in.view.Store(nil)
+	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
+	defer later.Stop()
+	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	in.view.Store(nil)
+	in.mu.Lock()
+	in.opened -= startMillis
+	in.mu.Unlock()
+	began := time.Now()
+	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.True(time.Since(began) < 100*time.Millisecond)
+}
+
+// TestCallsWaitForFirstTargets guards against a node that has just started and
+// refuses calls a moment before it learns of the first target, and against a wait at
+// a node that has been up for long.
+func TestCallsWaitForFirstTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newStandIn(t))
+	in := newIngress(t, f)
+	in.SetView(view.Build(f.view.Release(), nil), 1)
+	later := time.AfterFunc(100*time.Millisecond, func() { in.SetView(f.view, 1) })
+	defer later.Stop()
+	resp, _, err := send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	in.SetView(view.Build(f.view.Release(), nil), 1)
+	in.mu.Lock()
+	in.opened -= startMillis
+	in.mu.Unlock()
+	resp, _, err = send(http.DefaultClient, in, "/check/echo", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+}
