--- a/io/admin/operator.go
+++ b/io/admin/operator.go
@@ -137,13 +137,9 @@
 
 // Open binds the address.
 func (o *Operators) Open() error {
-	o.unauthorized = prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: stats.Namespace, Name: "operator_unauthorized_total", Help: "Operators' requests with a missing or wrong credential.",
-	})
-	if o.Registry != nil {
-		if err := o.Registry.Register(o.unauthorized); err != nil {
-			return err
-		}
+	o.unauthorized = stats.Counter("operator_unauthorized_total", "Operators' requests with a missing or wrong credential.")
+	if err := stats.Register(o.Registry, o.unauthorized); err != nil {
+		return err
 	}
 	app := newApp(operatorBodyBytes)
 	app.Use(o.authorize)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/member"
+	"hickoryrail/io/stats"
 )
 
 type (
@@ -26,21 +27,11 @@
 // newMetrics creates the metrics.
 func newMetrics() *metrics {
 	return &metrics{
-		version: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "hickoryrail_release_version", Help: "Version of the release in force; 0 means none.",
-		}),
-		malformed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "hickoryrail_control_malformed_total", Help: "Control messages that could not be encoded or decoded.",
-		}),
-		refusedReleases: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "hickoryrail_releases_refused_total", Help: "Releases refused because they were not whole and valid.",
-		}),
-		holdsLease: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "hickoryrail_lease_held", Help: "1 while this node is the reader of its region.",
-		}),
-		sourceErrors: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "hickoryrail_source_errors_total", Help: "Failed calls to the platform by the reader and at start.",
-		}),
+		version:         stats.Gauge("release_version", "Version of the release in force; 0 means none."),
+		malformed:       stats.Counter("control_malformed_total", "Control messages that could not be encoded or decoded."),
+		refusedReleases: stats.Counter("releases_refused_total", "Releases refused because they were not whole and valid."),
+		holdsLease:      stats.Gauge("lease_held", "1 while this node is the reader of its region."),
+		sourceErrors:    stats.Counter("source_errors_total", "Failed calls to the platform by the reader and at start."),
 	}
 }
 
@@ -48,12 +39,7 @@
 func (m *metrics) register(r prometheus.Registerer, f *fleet) error {
 	members := &memberCollector{fleet: f, description: prometheus.NewDesc(
 		"hickoryrail_members", "Known nodes by state.", []string{"state"}, nil)}
-	for _, c := range []prometheus.Collector{m.version, m.malformed, m.refusedReleases, m.holdsLease, m.sourceErrors, members} {
-		if err := r.Register(c); err != nil {
-			return err
-		}
-	}
-	return nil
+	return stats.Register(r, m.version, m.malformed, m.refusedReleases, m.holdsLease, m.sourceErrors, members)
 }
 
 // Describe sends the description of the count.
--- a/io/peer/metrics.go
+++ b/io/peer/metrics.go
@@ -1,12 +1,12 @@
 package peer
 
 import (
-	"errors"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/ident"
+	"hickoryrail/io/stats"
 )
 
 // packetOverhead is the size of the IPv4 and UDP headers of one packet.
@@ -76,44 +76,25 @@
 // register creates the counters and registers them unless there is no registry.
 func (m *metrics) register(t *Transport) error {
 	m.open = make(map[*connection]struct{})
-	var all []prometheus.Collector
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Name: "hickoryrail_peer_" + name, Help: help})
-		all = append(all, c)
-		return c
-	}
-	m.dials = counter("dials_total", "Connections that were dialed.")
-	m.dialFailures = counter("dial_failures_total", "Dials that failed.")
-	m.served = counter("calls_served_total", "Calls of peers that were run.")
-	m.refused = counter("calls_refused_total", "Calls of peers that were refused as not run.")
-	m.panics = counter("call_panics_total", "Handlers that failed.")
-	m.dropped = counter("control_dropped_total", "Control messages that were dropped before they were sent.")
-	m.discarded = counter("control_discarded_total", "Control messages that did not arrive whole.")
-	m.stalled = counter("control_stalled_total", "Control connections that were replaced because they were silent.")
-	m.controlSent = counter("control_messages_sent_total", "Control messages sent.")
-	m.controlReceived = counter("control_messages_received_total", "Control messages received.")
-	m.controlSentBytes = counter("control_message_bytes_sent_total", "Bytes of control messages sent.")
-	m.controlReceivedBytes = counter("control_message_bytes_received_total", "Bytes of control messages received.")
-	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "hickoryrail_peer_calls_total", Help: "Calls to peers by verdict.",
-	}, []string{"verdict"})
-	all = append(
-		all, m.calls,
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "hickoryrail_peer_control_bytes_sent_total",
-			Help: "Bytes in UDP packets of control connections sent, with headers.",
-		}, func() float64 { return float64(t.ControlTraffic().Sent) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "hickoryrail_peer_control_bytes_received_total",
-			Help: "Bytes in UDP packets of control connections received, with headers.",
-		}, func() float64 { return float64(t.ControlTraffic().Received) }),
+	m.dials = stats.Counter("peer_dials_total", "Connections that were dialed.")
+	m.dialFailures = stats.Counter("peer_dial_failures_total", "Dials that failed.")
+	m.served = stats.Counter("peer_calls_served_total", "Calls of peers that were run.")
+	m.refused = stats.Counter("peer_calls_refused_total", "Calls of peers that were refused as not run.")
+	m.panics = stats.Counter("peer_call_panics_total", "Handlers that failed.")
+	m.dropped = stats.Counter("peer_control_dropped_total", "Control messages that were dropped before they were sent.")
+	m.discarded = stats.Counter("peer_control_discarded_total", "Control messages that did not arrive whole.")
+	m.stalled = stats.Counter("peer_control_stalled_total", "Control connections that were replaced because they were silent.")
+	m.controlSent = stats.Counter("peer_control_messages_sent_total", "Control messages sent.")
+	m.controlReceived = stats.Counter("peer_control_messages_received_total", "Control messages received.")
+	m.controlSentBytes = stats.Counter("peer_control_message_bytes_sent_total", "Bytes of control messages sent.")
+	m.controlReceivedBytes = stats.Counter("peer_control_message_bytes_received_total", "Bytes of control messages received.")
+	m.calls = stats.Counters("peer_calls_total", "Calls to peers by verdict.", "verdict")
+	return stats.Register(
+		t.Registry, m.dials, m.dialFailures, m.served, m.refused, m.panics, m.dropped, m.discarded, m.stalled,
+		m.controlSent, m.controlReceived, m.controlSentBytes, m.controlReceivedBytes, m.calls,
+		stats.CounterFunc("peer_control_bytes_sent_total", "Bytes in UDP packets of control connections sent, with headers.",
+			func() float64 { return float64(t.ControlTraffic().Sent) }),
+		stats.CounterFunc("peer_control_bytes_received_total", "Bytes in UDP packets of control connections received, with headers.",
+			func() float64 { return float64(t.ControlTraffic().Received) }),
 	)
-	if t.Registry == nil {
-		return nil
-	}
-	var failures []error
-	for _, c := range all {
-		failures = append(failures, t.Registry.Register(c))
-	}
-	return errors.Join(failures...)
 }
--- a/io/proxy/ingressmetrics.go
+++ b/io/proxy/ingressmetrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hickoryrail/core/result"
+	"hickoryrail/io/stats"
 )
 
 // ingressMetrics counts what the ingress decides.
@@ -19,15 +20,15 @@
 
 // open creates the collectors and registers them.
 func (m *ingressMetrics) open(r prometheus.Registerer) error {
-	verdicts := counters("ingress_requests_total", "Requests of callers that were answered.", "verdict")
+	verdicts := stats.Counters("ingress_requests_total", "Requests of callers that were answered.", "verdict")
 	for i := range verdictCount {
 		m.verdicts[i] = verdicts.WithLabelValues(result.Verdict(i).String())
 	}
-	m.attempts = counter("ingress_attempts_total", "Attempts that were sent to a gate.")
-	m.retries = counter("ingress_retries_total", "Attempts after a failed one.")
-	m.hedges = counter("ingress_hedges_total", "Attempts beside a slow one.")
-	m.voids = counter("ingress_voids_total", "Voids that were asked for.")
-	m.refused = counter("ingress_malformed_total", "Requests that were malformed or too large.")
-	m.delay = histogram("ingress_delay_seconds", "Time from a whole request to its answer.")
-	return register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, m.delay)
+	m.attempts = stats.Counter("ingress_attempts_total", "Attempts that were sent to a gate.")
+	m.retries = stats.Counter("ingress_retries_total", "Attempts after a failed one.")
+	m.hedges = stats.Counter("ingress_hedges_total", "Attempts beside a slow one.")
+	m.voids = stats.Counter("ingress_voids_total", "Voids that were asked for.")
+	m.refused = stats.Counter("ingress_malformed_total", "Requests that were malformed or too large.")
+	m.delay = stats.Histogram("ingress_delay_seconds", "Time from a whole request to its answer.", delayBuckets)
+	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, m.delay)
 }
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -6,6 +6,7 @@
 	"hickoryrail/core/admit"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
+	"hickoryrail/io/stats"
 )
 
 const (
@@ -32,54 +33,19 @@
 
 // open creates the collectors and registers them.
 func (m *gatewayMetrics) open(r prometheus.Registerer, load func() admit.Load) error {
-	decisions := counters("gateway_decisions_total", "Decisions of the admission gate.", "decision", "class")
+	decisions := stats.Counters("gateway_decisions_total", "Decisions of the admission gate.", "decision", "class")
 	for i := range classCount {
 		class := model.Class(i).String()
 		m.started[i] = decisions.WithLabelValues("start", class)
 		m.refused[i] = decisions.WithLabelValues("refuse", class)
 	}
-	verdicts := counters("gateway_calls_total", "Calls that ended at the gate.", "verdict")
+	verdicts := stats.Counters("gateway_calls_total", "Calls that ended at the gate.", "verdict")
 	for i := range verdictCount {
 		m.verdicts[i] = verdicts.WithLabelValues(result.Verdict(i).String())
 	}
-	m.voids = counter("gateway_voids_total", "Voids that other nodes asked for.")
-	m.run = histogram("gateway_run_seconds", "Time that a started call spent at the target.")
-	return register(r, decisions, verdicts, m.voids, m.run,
-		gauge("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
-		gauge("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }))
-}
-
-// register registers the collectors; a nil r keeps them private.
-func register(r prometheus.Registerer, collectors ...prometheus.Collector) error {
-	if r == nil {
-		return nil
-	}
-	for _, c := range collectors {
-		if err := r.Register(c); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// counter returns a counter.
-func counter(name, help string) prometheus.Counter {
-	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hickoryrail", Name: name, Help: help})
-}
-
-// counters returns a labelled counter.
-func counters(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "hickoryrail", Name: name, Help: help}, labels)
-}
-
-// histogram returns a histogram of delays in seconds.
-func histogram(name, help string) prometheus.Histogram {
-	return prometheus.NewHistogram(prometheus.HistogramOpts{
-		Namespace: "hickoryrail", Name: name, Help: help, Buckets: delayBuckets,
-	})
-}
-
-// gauge returns a gauge that reads f.
-func gauge(name, help string, f func() float64) prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "hickoryrail", Name: name, Help: help}, f)
+	m.voids = stats.Counter("gateway_voids_total", "Voids that other nodes asked for.")
+	m.run = stats.Histogram("gateway_run_seconds", "Time that a started call spent at the target.", delayBuckets)
+	return stats.Register(r, decisions, verdicts, m.voids, m.run,
+		stats.GaugeFunc("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
+		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }))
 }
--- a/io/stats/registry.go
+++ b/io/stats/registry.go
@@ -1,4 +1,4 @@
-// Package stats provides the registry of a node's metrics.
+// Package stats provides the registry of a node's metrics, and their constructors.
 package stats
 
 import (
