Use the usual names for the parts of a delta

Cause: read as a newcomer, unlike, divide and part.go (Part is a type of its own) stopped me. Change: differing, partition and elements.go; the comment on Looks says what it counts.

--- a/core/model/delta.go
+++ b/core/model/delta.go
@@ -32,7 +32,7 @@
 
 // MakeDelta returns the delta between two releases.
 func MakeDelta(from, to Release) Delta {
-	old, later := unlike(from.Configuration, to.Configuration)
+	old, later := differing(from.Configuration, to.Configuration)
 	return Delta{
 		From: from.Version, FromDigest: from.Digest,
 		To: to.Version, EditID: to.EditID, ToDigest: to.Digest,
@@ -67,7 +67,7 @@
 	for _, c := range d.Changes {
 		named.Add(elementOf(c.Field))
 	}
-	old, rest := from.divide(named)
+	old, rest := from.partition(named)
 	f := flatten(old)
 	for _, c := range d.Changes {
 		if f[c.Field] != c.Old {
--- a/core/model/part.go
+++ b/core/model/elements.go
@@ -7,14 +7,14 @@
 	"hickoryrail/core/sets"
 )
 
-// unlike returns the elements that two sorted configurations do not share, so that
+// differing returns the elements that two sorted configurations do not share, so that
 // the cost of a delta depends on what differs and not on the number of routes.
-func unlike(a, b Configuration) (onlyA, onlyB Configuration) {
-	onlyA.Inventory.FailureDomains, onlyB.Inventory.FailureDomains = unlikeElements(
+func differing(a, b Configuration) (onlyA, onlyB Configuration) {
+	onlyA.Inventory.FailureDomains, onlyB.Inventory.FailureDomains = differingElements(
 		a.Inventory.FailureDomains, b.Inventory.FailureDomains, domainName, equalElements)
-	onlyA.Inventory.Services, onlyB.Inventory.Services = unlikeElements(
+	onlyA.Inventory.Services, onlyB.Inventory.Services = differingElements(
 		a.Inventory.Services, b.Inventory.Services, serviceName, equalElements)
-	onlyA.Rules.Routes, onlyB.Rules.Routes = unlikeElements(
+	onlyA.Rules.Routes, onlyB.Rules.Routes = differingElements(
 		a.Rules.Routes, b.Rules.Routes, routeName, equalRoutes)
 	if a.Rules.Callers != b.Rules.Callers {
 		onlyA.Rules.Callers, onlyB.Rules.Callers = a.Rules.Callers, b.Rules.Callers
@@ -22,9 +22,9 @@
 	return onlyA, onlyB
 }
 
-// unlikeElements returns the elements of two lists, each in order of name, that
+// differingElements returns the elements of two lists, each in order of name, that
 // have no equal element in the other list.
-func unlikeElements[E any](a, b []E, name func(*E) string, equal func(x, y *E) bool) (onlyA, onlyB []E) {
+func differingElements[E any](a, b []E, name func(*E) string, equal func(x, y *E) bool) (onlyA, onlyB []E) {
 	for len(a) > 0 && len(b) > 0 {
 		order := cmp.Compare(name(&a[0]), name(&b[0]))
 		if order == 0 && equal(&a[0], &b[0]) {
@@ -41,14 +41,14 @@
 	return append(onlyA, a...), append(onlyB, b...)
 }
 
-// divide returns the elements of c that are named, and the others. The names are
+// partition returns the elements of c that are named, and the others. The names are
 // those of elementOf.
-func (c Configuration) divide(named sets.Set[string]) (in, out Configuration) {
-	in.Inventory.FailureDomains, out.Inventory.FailureDomains = divideElements(
+func (c Configuration) partition(named sets.Set[string]) (in, out Configuration) {
+	in.Inventory.FailureDomains, out.Inventory.FailureDomains = partitionElements(
 		c.Inventory.FailureDomains, named, domainKind, domainName)
-	in.Inventory.Services, out.Inventory.Services = divideElements(
+	in.Inventory.Services, out.Inventory.Services = partitionElements(
 		c.Inventory.Services, named, serviceKind, serviceName)
-	in.Rules.Routes, out.Rules.Routes = divideElements(c.Rules.Routes, named, routeKind, routeName)
+	in.Rules.Routes, out.Rules.Routes = partitionElements(c.Rules.Routes, named, routeKind, routeName)
 	if named.Has(callersKind + "/" + callersName) {
 		in.Rules.Callers = c.Rules.Callers
 	} else {
@@ -57,8 +57,8 @@
 	return in, out
 }
 
-// divideElements divides the elements of one kind.
-func divideElements[E any](list []E, named sets.Set[string], kind string, name func(*E) string) (in, out []E) {
+// partitionElements partitions the elements of one kind.
+func partitionElements[E any](list []E, named sets.Set[string], kind string, name func(*E) string) (in, out []E) {
 	out = make([]E, 0, len(list))
 	for i := range list {
 		if named.Has(kind + "/" + name(&list[i])) {
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -62,7 +62,7 @@
 		Sent int
 		// Arrivals counts the attempts that got to a target, or may have.
 		Arrivals int
-		// Looks counts the attempts that a gate refused because they were not to wait.
+		// Looks counts the attempts that only looked for a free slot and found none.
 		Looks int
 		// Outstanding counts the attempts without an outcome.
 		Outstanding int
