--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -167,7 +167,11 @@
 		c.transport.emit(peer.Sent, c, 0)
 		defer c.transport.emit(peer.Ended, c, 0)
 	}
-	if err := c.write(message{kind: k, id: id, payload: body}); err != nil {
+	err = c.write(message{kind: k, id: id, payload: body})
+	if k == kindCall && ctx.Err() != nil {
+		c.transport.metrics.left.Inc()
+	}
+	if err != nil {
 		// The peer runs only requests that it received completely.
 		return nil, result.NewError(result.NotRun, reasonWrite, err)
 	}
--- a/io/frame/metrics.go
+++ b/io/frame/metrics.go
@@ -15,6 +15,7 @@
 	refused prometheus.Counter
 	dropped prometheus.Counter
 	lost    prometheus.Counter
+	left    prometheus.Counter
 	// controlSent and controlReceived count the bytes of control frames.
 	controlSent, controlReceived atomic.Uint64
 }
@@ -26,11 +27,12 @@
 	m.refused = stats.Counter("peer_refused_total", "Calls of other nodes that were refused as not run.")
 	m.dropped = stats.Counter("peer_control_dropped_total", "Control messages that were dropped.")
 	m.lost = stats.Counter("peer_connections_lost_total", "Dialed connections that ended.")
+	m.left = stats.Counter("peer_caller_left_total", "Calls whose callers had left before the request was written.")
 	bytes := func(name, help string, n *atomic.Uint64) prometheus.Collector {
 		return stats.CounterFunc(name, help, func() float64 { return float64(n.Load()) })
 	}
 	return stats.Register(
-		r, m.calls, m.served, m.refused, m.dropped, m.lost,
+		r, m.calls, m.served, m.refused, m.dropped, m.lost, m.left,
 		bytes("peer_control_bytes_sent_total", "Bytes of control frames sent.", &m.controlSent),
 		bytes("peer_control_bytes_received_total", "Bytes of control frames received.", &m.controlReceived),
 	)
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -106,6 +106,7 @@
 			}
 			return &wire.Response{Verdict: v, Reason: choice.Reason}
 		}
+		in.metrics.left.check(c.ctx, leftAttempt)
 		resp := in.try(c, choice)
 		d := in.decide(c, resp)
 		if resp.Verdict == result.Ran && resp.Status >= minFailureStatus {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -245,6 +245,7 @@
 func (g *Gateway) forward(ctx context.Context, r *wire.Request, keep bool) (*wire.Response, []byte) {
 	now := g.Clock.Now()
 	deadline := now + r.RemainingMillis
+	g.metrics.left.check(ctx, leftGate)
 	c := &gateCall{request: r, arrived: now}
 	t, resp, kept := g.arrive(now, deadline, c)
 	if t == nil {
@@ -264,6 +265,9 @@
 		resp = &wire.Response{Verdict: result.NotRun, Reason: c.action.Reason}
 		return resp, g.finish(c, resp, started, 0, false)
 	}
+	if c.wake != nil {
+		g.metrics.left.check(ctx, leftGate)
+	}
 	resp, err := t.call(ctx, started, deadline, r)
 	if err != nil {
 		resp = &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -289,6 +289,7 @@
 	in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	now := in.Clock.Now()
+	in.metrics.left.check(callerCtx, leftRead)
 	if in.draining.Load() {
 		in.reply(ctx, notRun(reasonDraining), now)
 		return
--- a/io/proxy/ingressmetrics.go
+++ b/io/proxy/ingressmetrics.go
@@ -15,6 +15,7 @@
 	hedges   prometheus.Counter
 	voids    prometheus.Counter
 	refused  prometheus.Counter
+	left     leftCounters
 	delay    prometheus.Histogram
 }
 
@@ -30,5 +31,7 @@
 	m.voids = stats.Counter("ingress_voids_total", "Voids that were asked for.")
 	m.refused = stats.Counter("ingress_malformed_total", "Requests that were malformed or too large.")
 	m.delay = stats.Histogram("ingress_delay_seconds", "Time from a whole request to its answer.", delayBuckets)
-	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, m.delay)
+	left, leftCollector := newLeftCounters("ingress_caller_left_total")
+	m.left = left
+	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, m.delay)
 }
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -28,6 +28,7 @@
 		refused  [classCount]prometheus.Counter
 		verdicts [verdictCount]prometheus.Counter
 		voids    prometheus.Counter
+		left     leftCounters
 		run      prometheus.Histogram
 	}
 )
@@ -45,8 +46,10 @@
 		m.verdicts[i] = verdicts.WithLabelValues(result.Verdict(i).String())
 	}
 	m.voids = stats.Counter("gateway_voids_total", "Voids that other nodes asked for.")
+	left, leftCollector := newLeftCounters("gateway_caller_left_total")
+	m.left = left
 	m.run = stats.Histogram("gateway_run_seconds", "Time that a started call spent at the target.", delayBuckets)
-	return stats.Register(r, decisions, verdicts, m.voids, m.run,
+	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.run,
 		stats.GaugeFunc("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
 		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }))
 }
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -53,6 +53,7 @@
 		address string
 		limits  Limits
 		dialect *Dialect
+		left    *leftCounters
 		client  *fasthttp.HostClient
 	}
 
@@ -93,8 +94,8 @@
 )
 
 // newTarget returns the client of the target at address.
-func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits, d *Dialect) *target {
-	t := &target{id: id, address: address, limits: limits, dialect: d}
+func newTarget(id ident.TargetID, address string, connections ident.Connections, limits Limits, d *Dialect, left *leftCounters) *target {
+	t := &target{id: id, address: address, limits: limits, dialect: d, left: left}
 	t.client = &fasthttp.HostClient{
 		Addr:        address,
 		DialTimeout: dialTarget,
@@ -183,6 +184,7 @@
 			return nil, result.NewError(result.NotRun, reasonNoConnection, errConnClosed)
 		}
 		conn.used = true
+		t.left.check(ctx, leftTarget)
 		resp, reusable, err := t.exchange(ctx, conn, r, until)
 		if reusable {
 			t.client.ReleaseConn(cc)
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -153,7 +153,7 @@
 			_ = c.Close()
 		}
 	}()
-	target := newTarget("t", l.Addr().String(), 4, Limits{HeaderBytes: 4096, BodyBytes: 4096}, &Dialect{})
+	target := newTarget("t", l.Addr().String(), 4, Limits{HeaderBytes: 4096, BodyBytes: 4096}, &Dialect{}, &leftCounters{})
 	for range 20 {
 		_, err = target.call(t.Context(), 0, 300, &wire.Request{Method: "GET", URI: []byte("/"), Idempotent: true})
 		is.True(err != nil)
