End requests whose callers have left at each stage

Cause: the end of a caller's connection cancelled the request's context, but a stage looked at the context only while it waited there. A request that was read from a connection that was already closed was started, sent to another node and to its target; so was one that waited for the write of an earlier frame or for a connection, and one whose cancellation was already in the receive buffer behind it.

Change: every stage asks before it passes a request on. The server of callers looks at the connection without reading before it starts a request, and while it reads none. The ingress asks before each attempt, takes no retry from the budget for a caller that has left, and starts no hedge; the transport between nodes gives up a call that waits for its turn to write; core/intake holds received calls until the buffer is empty, so that a cancellation drops a call that has not started; the gate asks on arrival and after the queue; the client of the target asks when it has a connection. Nothing was sent in all these cases, so the verdict is NotRun. A caller that closes only its sending side counts as one that has left, as before.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -139,6 +139,14 @@
 	s.Uncertain = s.Uncertain || v == result.MayHaveRun
 }
 
+// Verdict returns the verdict of the whole call if no further attempt is made.
+func (s *CallState) Verdict() result.Verdict {
+	if s.Uncertain || s.Outstanding > 0 {
+		return result.MayHaveRun
+	}
+	return result.NotRun
+}
+
 // Decide returns the next step of a call after an attempt that ended with verdict v
 // and that End has recorded.
 func (p *Policy) Decide(now clock.Millis, s CallState, v result.Verdict) Decision {
@@ -232,11 +240,7 @@
 
 // finish returns the decision that ends a call without an answer.
 func finish(s CallState, reason string) Decision {
-	v := result.NotRun
-	if s.Uncertain || s.Outstanding > 0 {
-		v = result.MayHaveRun
-	}
-	return Decision{Kind: Finish, Verdict: v, Reason: reason}
+	return Decision{Kind: Finish, Verdict: s.Verdict(), Reason: reason}
 }
 
 // HedgeAt returns the instant at which Hedge is due for a call with one attempt
--- a/io/frame/call.go
+++ b/io/frame/call.go
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(t.runCtx, dialMillis.Duration())
 	defer cancel()
 	c, err := t.connect(ctx, to, out.address, false)
-	if err != nil || c.write(m) != nil {
+	if err != nil || c.write(ctx, m) != nil {
 		return false
 	}
 	t.metrics.controlSent.Add(uint64(lengthBytes + headerBytes + len(out.body)))
@@ -196,12 +196,12 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	c := &connection{transport: t, node: l.node, address: address, conn: conn, waiting: make(map[callID]chan message)}
+	c := &connection{transport: t, node: l.node, address: address, conn: conn, writing: make(chan struct{}, 1), waiting: make(map[callID]chan message)}
 	if err := t.register(c); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	if err := c.write(message{kind: kindHello, payload: []byte(t.Self)}); err != nil {
+	if err := c.write(context.Background(), message{kind: kindHello, payload: []byte(t.Self)}); err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
--- a/io/frame/codec.go
+++ b/io/frame/codec.go
@@ -69,6 +69,16 @@
 	return append(out, m.payload...)
 }
 
+// holdsFrame reports whether a whole frame is in the buffer, so that read returns it
+// without waiting.
+func holdsFrame(b *bufio.Reader) bool {
+	if b.Buffered() < lengthBytes {
+		return false
+	}
+	prefix, err := b.Peek(lengthBytes)
+	return err == nil && b.Buffered()-lengthBytes >= int(binary.BigEndian.Uint32(prefix))
+}
+
 // read returns the next frame. It returns errFrame if the payload is longer than limit
 // or the kind is unknown.
 func read(b *bufio.Reader, limit int) (message, error) {
--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -22,8 +22,9 @@
 		address   string
 		conn      net.Conn
 
-		// writing serializes the writes of frames.
-		writing sync.Mutex
+		// writing serializes the writes of frames: it holds a value while one is
+		// written. Unlike a mutex, it can be waited for until a ctx ends.
+		writing chan struct{}
 
 		// mu guards what follows.
 		mu     sync.Mutex
@@ -66,17 +67,27 @@
 	errStalled = errors.New("connection made no progress")
 	// errRedial reports that a dial to the same address failed a short time ago.
 	errRedial = errors.New("not dialing again so soon after a failed dial")
+	// errWithdrawn reports a frame that was not sent because its ctx ended.
+	errWithdrawn = errors.New("caller left before the request was sent")
 	// errReplaced reports a connection that was closed because its node has another
 	// address now.
 	errReplaced = errors.New("connection was replaced")
 )
 
-// write sends one frame. After an error the frame was not sent completely, and the
+// write sends one frame, unless ctx ends before its first byte; the error is then
+// errWithdrawn. After any other error the frame was not sent completely, and the
 // connection is closed.
-func (c *connection) write(m message) error {
+func (c *connection) write(ctx context.Context, m message) error {
 	body := m.encode()
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	select {
+	case c.writing <- struct{}{}:
+	case <-ctx.Done():
+		return errWithdrawn
+	}
+	defer func() { <-c.writing }()
+	if ctx.Err() != nil {
+		return errWithdrawn
+	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())) // the write reports a closed connection
 	_, err := c.conn.Write(body)
 	if err != nil {
@@ -167,11 +178,12 @@
 		c.transport.emit(peer.Sent, c, 0)
 		defer c.transport.emit(peer.Ended, c, 0)
 	}
-	err = c.write(message{kind: k, id: id, payload: body})
-	if k == kindCall && ctx.Err() != nil {
+	err = c.write(ctx, message{kind: k, id: id, payload: body})
+	switch {
+	case errors.Is(err, errWithdrawn):
 		c.transport.metrics.left.Inc()
-	}
-	if err != nil {
+		return nil, result.NewError(result.NotRun, endReason(ctx), err)
+	case err != nil:
 		// The peer runs only requests that it received completely.
 		return nil, result.NewError(result.NotRun, reasonWrite, err)
 	}
@@ -181,13 +193,17 @@
 	case <-ctx.Done():
 	}
 	if k == kindCall {
-		_ = c.write(message{kind: kindCancel, id: id}) // if this fails, the lost connection ends the handler's ctx
+		_ = c.write(context.Background(), message{kind: kindCancel, id: id}) // if this fails, the lost connection ends the handler's ctx
 	}
-	reason := reasonCancelled
+	return nil, result.NewError(result.MayHaveRun, endReason(ctx), ctx.Err())
+}
+
+// endReason returns the reason of a call whose ctx has ended.
+func endReason(ctx context.Context) string {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = reasonDeadline
+		return reasonDeadline
 	}
-	return nil, result.NewError(result.MayHaveRun, reason, ctx.Err())
+	return reasonCancelled
 }
 
 // outcome returns the result of a call from its reply; ok is false if the connection
--- a/io/frame/metrics.go
+++ b/io/frame/metrics.go
@@ -27,7 +27,7 @@
 	m.refused = stats.Counter("peer_refused_total", "Calls of other nodes that were refused as not run.")
 	m.dropped = stats.Counter("peer_control_dropped_total", "Control messages that were dropped.")
 	m.lost = stats.Counter("peer_connections_lost_total", "Dialed connections that ended.")
-	m.left = stats.Counter("peer_caller_left_total", "Calls whose callers had left before the request was written.")
+	m.left = stats.Counter("peer_caller_left_total", "Calls that ended because their callers had left, before they were sent or started.")
 	bytes := func(name, help string, n *atomic.Uint64) prometheus.Collector {
 		return stats.CounterFunc(name, help, func() float64 { return float64(n.Load()) })
 	}
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"hickoryrail/core/ident"
+	"hickoryrail/core/intake"
 )
 
 // helloTimeout bounds the wait for the first frame of an accepted connection.
@@ -28,6 +29,9 @@
 	// writing serializes the writes of frames.
 	writing sync.Mutex
 
+	// received holds the calls that were read and not started yet. Only serve uses it.
+	received intake.Queue[callID, message]
+
 	// mu guards cancels.
 	mu sync.Mutex
 	// cancels holds the function that ends the handler's ctx for each running call.
@@ -88,6 +92,11 @@
 			return
 		}
 		s.handle(m)
+		// A slow node reads a call and its cancellation at the same time, so calls
+		// start only when no further frame is in the buffer.
+		if !holdsFrame(b) {
+			s.received.Start(s.call)
+		}
 	}
 }
 
@@ -99,14 +108,23 @@
 	case kindEcho:
 		_ = s.write(message{kind: kindEchoed, id: m.id}) // serve's next read reports a lost connection
 	case kindCancel:
-		s.mu.Lock()
-		cancel := s.cancels[m.id]
-		s.mu.Unlock()
-		if cancel != nil {
-			cancel()
-		}
+		s.cancel(m.id)
 	case kindCall:
-		s.call(m)
+		s.received.Add(m.id, m)
+	}
+}
+
+// cancel ends the ctx of a running call, or drops a call that has not started.
+func (s *acceptedConnection) cancel(id callID) {
+	if s.received.Cancel(id) {
+		s.transport.metrics.left.Inc()
+		return
+	}
+	s.mu.Lock()
+	cancel := s.cancels[id]
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
 	}
 }
 
--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/io/sock"
 )
 
 const (
@@ -22,6 +23,9 @@
 	readBufferBytes = 4 << 10
 	// writeBufferBytes is the size of a write buffer.
 	writeBufferBytes = 4 << 10
+	// leftPollInterval is the interval between checks whether the caller has left,
+	// while no request is being read.
+	leftPollInterval = 100 * time.Millisecond
 )
 
 type (
@@ -31,6 +35,8 @@
 		server *Server
 		conn   net.Conn
 		reader *bufio.Reader
+		// probe tells whether the caller has closed the connection.
+		probe sock.Probe
 		// pending passes requests to writeResponses in the order in which they were
 		// read.
 		pending chan *exchange
@@ -68,7 +74,7 @@
 func newConnection(s *Server, conn net.Conn) *connection {
 	size := min(max(readBufferBytes, int(s.Bounds().HeaderBytes)), 1<<16)
 	return &connection{
-		server: s, conn: conn, reader: bufio.NewReaderSize(conn, size),
+		server: s, conn: conn, reader: bufio.NewReaderSize(conn, size), probe: sock.NewProbe(conn),
 		pending: make(chan *exchange, s.pipeline()),
 	}
 }
@@ -78,7 +84,11 @@
 	defer c.server.remove(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	wg.Go(func() { c.writeResponses(cancel) })
+	answered := make(chan struct{})
+	wg.Go(func() {
+		defer close(answered)
+		c.writeResponses(cancel)
+	})
 	for {
 		ex, err := c.readRequest()
 		if ex == nil {
@@ -87,22 +97,67 @@
 			}
 			break
 		}
-		c.pending <- ex
+		c.enqueue(ex, cancel)
 		if ex.closeAfter {
 			close(ex.done) // the response to a malformed request is already complete
 			break
 		}
+		// The caller may have closed the connection long before the request was read.
+		c.cancelIfLeft(cancel)
 		wg.Go(func() {
 			c.server.Handler(ctx, ex.rc)
 			close(ex.done)
 		})
 	}
 	close(c.pending)
+	c.watch(answered, cancel)
 	wg.Wait()
 	cancel()
 	_ = c.conn.Close()
 }
 
+// enqueue passes a request to writeResponses. While it waits for room in the pipeline,
+// it checks whether the caller has left.
+func (c *connection) enqueue(ex *exchange, cancel context.CancelFunc) {
+	select {
+	case c.pending <- ex:
+		return
+	default:
+	}
+	t := time.NewTicker(leftPollInterval)
+	defer t.Stop()
+	for {
+		select {
+		case c.pending <- ex:
+			return
+		case <-t.C:
+			c.cancelIfLeft(cancel)
+		}
+	}
+}
+
+// watch checks whether the caller has left until every request is answered.
+func (c *connection) watch(answered <-chan struct{}, cancel context.CancelFunc) {
+	t := time.NewTicker(leftPollInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-answered:
+			return
+		case <-t.C:
+			c.cancelIfLeft(cancel)
+		}
+	}
+}
+
+// cancelIfLeft cancels the requests of the connection if the caller has closed it.
+// Bytes that are unread hide the close.
+func (c *connection) cancelIfLeft(cancel context.CancelFunc) {
+	if c.probe.Peek() == sock.Ended {
+		cancel()
+	}
+}
+
 // readRequest reads one request. It returns no exchange if the caller has disconnected
 // or the connection accepts no more requests.
 func (c *connection) readRequest() (*exchange, error) {
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -99,6 +99,10 @@
 		t.forget(c)
 		return nil, result.NewError(result.NotRun, reasonStream, err)
 	}
+	if ctx.Err() != nil { // it ended while the stream was opened
+		resetStream(s)
+		return nil, contextError(ctx, result.NotRun)
+	}
 	if frame == frameCall {
 		t.emit(Sent, c, 0)
 		defer t.emit(Ended, c, 0)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -51,7 +51,7 @@
 func (in *Ingress) startHedge(c *call, h *hedge, cancelFirst context.CancelFunc, number int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.firstEnded {
+	if h.firstEnded || in.metrics.left.hasLeft(c.ctx, leftAttempt) {
 		return
 	}
 	if len(c.view.Targets(c.route.Service)) <= len(c.tried) {
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -92,6 +92,9 @@
 	in.Policy.RecordCall(now, c.route, c.parentRepeated)
 	in.mu.Unlock()
 	for {
+		if in.metrics.left.hasLeft(c.ctx, leftAttempt) {
+			return &wire.Response{Verdict: c.state.Verdict(), Reason: leftReason(c.ctx)}
+		}
 		choice, ok := in.pick(c)
 		if !ok && in.awaitTargets(c, choice) {
 			continue
@@ -100,13 +103,8 @@
 			return failure
 		}
 		if !ok {
-			v := result.NotRun
-			if c.state.Uncertain {
-				v = result.MayHaveRun
-			}
-			return &wire.Response{Verdict: v, Reason: choice.Reason}
+			return &wire.Response{Verdict: c.state.Verdict(), Reason: choice.Reason}
 		}
-		in.metrics.left.check(c.ctx, leftAttempt)
 		resp := in.try(c, choice)
 		d := in.decide(c, resp)
 		if resp.Verdict == result.Ran && resp.Status >= minFailureStatus {
@@ -121,9 +119,6 @@
 			}
 			return resp
 		}
-		if c.ctx.Err() != nil {
-			return &wire.Response{Verdict: d.Verdict, Reason: reasonGaveUp}
-		}
 		in.metrics.retries.Inc()
 		time.Sleep((d.At - in.Clock.Now()).Duration())
 	}
@@ -161,6 +156,9 @@
 	case resp.Reason == admit.ReasonNoFreeSlot:
 		c.state.FastRefusals++
 	}
+	if c.ctx.Err() != nil {
+		return in.decideLeft(c, resp)
+	}
 	in.mu.Lock()
 	var d retry.Decision
 	if resp.Verdict == result.Ran && resp.Status >= minFailureStatus {
@@ -176,6 +174,16 @@
 	return d
 }
 
+// decideLeft ends a call whose caller left during an attempt. The policy is not asked,
+// since a retry that is never made must not take from the budget.
+func (in *Ingress) decideLeft(c *call, resp *wire.Response) retry.Decision {
+	v := c.state.Verdict()
+	if resp.Verdict == result.Ran {
+		v = result.Ran
+	}
+	return retry.Decision{Kind: retry.Finish, Verdict: v, Reason: leftReason(c.ctx)}
+}
+
 // try makes one attempt, and a hedge if the route allows one and the attempt is slow.
 func (in *Ingress) try(c *call, choice route.Choice) *wire.Response {
 	now := in.Clock.Now()
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -59,6 +59,13 @@
 	return &wire.Response{Verdict: v, Reason: reason, Load: g.gate.Load()}
 }
 
+// refuseLeft is refuse for a call whose caller has left before it reached the gate.
+func (g *Gateway) refuseLeft(now clock.Millis, r *wire.Request, reason string) *wire.Response {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refuse(now, r, result.NotRun, reason)
+}
+
 // cancel withdraws a call if it still waits.
 func (g *Gateway) cancel(id ident.RequestID) {
 	g.mu.Lock()
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -245,7 +245,9 @@
 func (g *Gateway) forward(ctx context.Context, r *wire.Request, keep bool) (*wire.Response, []byte) {
 	now := g.Clock.Now()
 	deadline := now + r.RemainingMillis
-	g.metrics.left.check(ctx, leftGate)
+	if g.metrics.left.hasLeft(ctx, leftGate) {
+		return g.refuseLeft(now, r, leftReason(ctx)), nil
+	}
 	c := &gateCall{request: r, arrived: now}
 	t, resp, kept := g.arrive(now, deadline, c)
 	if t == nil {
@@ -265,8 +267,9 @@
 		resp = &wire.Response{Verdict: result.NotRun, Reason: c.action.Reason}
 		return resp, g.finish(c, resp, started, 0, false)
 	}
-	if c.wake != nil {
-		g.metrics.left.check(ctx, leftGate)
+	if c.wake != nil && g.metrics.left.hasLeft(ctx, leftGate) {
+		resp = &wire.Response{Verdict: result.NotRun, Reason: leftReason(ctx)}
+		return resp, g.finish(c, resp, started, 0, false)
 	}
 	resp, err := t.call(ctx, started, deadline, r)
 	if err != nil {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -289,7 +289,11 @@
 	in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	now := in.Clock.Now()
-	in.metrics.left.check(callerCtx, leftRead)
+	if in.metrics.left.hasLeft(callerCtx, leftRead) {
+		in.recordRefusal(ctx, notRun(reasonGaveUp), now)
+		in.reply(ctx, notRun(reasonGaveUp), now)
+		return
+	}
 	if in.draining.Load() {
 		in.reply(ctx, notRun(reasonDraining), now)
 		return
--- a/io/proxy/left.go
+++ b/io/proxy/left.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -23,10 +24,11 @@
 
 type (
 	// leftStage is a point on the path of a request at which a node checks whether the
-	// caller has left.
+	// caller has left: each one before which the request may have waited.
 	leftStage uint8
 
-	// leftCounters counts the requests whose callers had left, by stage.
+	// leftCounters counts by stage the requests that ended because their callers had
+	// left or their time was over.
 	leftCounters [leftStages]prometheus.Counter
 )
 
@@ -35,7 +37,7 @@
 
 // newLeftCounters returns the counters and the collector that holds them.
 func newLeftCounters(name string) (leftCounters, prometheus.Collector) {
-	c := stats.Counters(name, "Requests whose callers had left when they reached a stage.", "stage")
+	c := stats.Counters(name, "Requests that ended at a stage because their callers had left or their time was over.", "stage")
 	var counters leftCounters
 	for i, stage := range leftStageNames {
 		counters[i] = c.WithLabelValues(stage)
@@ -43,9 +45,20 @@
 	return counters, c
 }
 
-// check counts a request that is at a stage if its caller has left.
-func (l *leftCounters) check(ctx context.Context, stage leftStage) {
-	if ctx.Err() != nil {
-		l[stage].Inc()
+// hasLeft reports whether the caller of a request has left, or its time is over, and
+// counts the request under the stage. Nothing may be sent for it from then on.
+func (l *leftCounters) hasLeft(ctx context.Context, stage leftStage) bool {
+	if ctx.Err() == nil {
+		return false
 	}
+	l[stage].Inc()
+	return true
+}
+
+// leftReason returns the reason of a request for which hasLeft returned true.
+func leftReason(ctx context.Context) string {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return reasonDeadline
+	}
+	return reasonGaveUp
 }
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,6 +15,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
+	"hickoryrail/io/sock"
 	"hickoryrail/io/wire"
 )
 
@@ -60,7 +60,7 @@
 	// targetConn counts the bytes of the current request that the kernel accepted.
 	targetConn struct {
 		net.Conn
-		raw       syscall.RawConn
+		probe     sock.Probe
 		sentBytes int
 		// used is set once the connection has carried a request.
 		used bool
@@ -125,12 +125,7 @@
 		_ = c.Close()
 		return nil, errNotTCP
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return &targetConn{Conn: c, raw: raw}, nil
+	return &targetConn{Conn: c, probe: sock.NewProbe(tcp)}, nil
 }
 
 // Write counts the bytes that the kernel accepted.
@@ -143,14 +138,7 @@
 // stale reports whether the target closed the idle connection or sent bytes that
 // belong to no request, which would be read as the response to the next one.
 func (c *targetConn) stale() bool {
-	stale := true
-	var b [1]byte
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stale = !errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return stale || err != nil
+	return c.probe.Peek() != sock.Idle
 }
 
 // call sends r once and returns the target's complete response or a *result.Error. If
@@ -183,8 +171,11 @@
 			}
 			return nil, result.NewError(result.NotRun, reasonNoConnection, errConnClosed)
 		}
+		if t.left.hasLeft(ctx, leftTarget) {
+			t.client.ReleaseConn(cc)
+			return nil, result.NewError(result.NotRun, leftReason(ctx), ctx.Err())
+		}
 		conn.used = true
-		t.left.check(ctx, leftTarget)
 		resp, reusable, err := t.exchange(ctx, conn, r, until)
 		if reusable {
 			t.client.ReleaseConn(cc)
--- /dev/null
+++ b/io/sock/probe.go
@@ -0,0 +1,71 @@
+// Package sock examines TCP connections without reading from them.
+package sock
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+const (
+	// Idle means that no byte is unread and the peer has not closed the connection.
+	Idle State = iota
+	// Data means that bytes are unread.
+	Data
+	// Ended means that the peer has closed or reset the connection, or that it is closed
+	// on this side, and that no byte is unread.
+	Ended
+)
+
+type (
+	// State is the state of the receiving side of a connection.
+	State uint8
+
+	// Probe examines one connection. The zero value always returns Idle.
+	Probe struct {
+		raw syscall.RawConn
+	}
+)
+
+// NewProbe returns the probe of a connection; for a connection without a file
+// descriptor it returns the zero value.
+func NewProbe(c net.Conn) Probe {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return Probe{}
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return Probe{}
+	}
+	return Probe{raw: raw}
+}
+
+// Peek returns the present state without waiting.
+func (p Probe) Peek() State {
+	if p.raw == nil {
+		return Idle
+	}
+	state := Ended
+	err := p.raw.Read(func(fd uintptr) bool {
+		state = peek(int(fd))
+		return true
+	})
+	if err != nil && state != Data {
+		return Ended
+	}
+	return state
+}
+
+// peek returns the state of a socket.
+func peek(fd int) State {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return Idle
+	case err == nil && n > 0:
+		return Data
+	}
+	return Ended
+}
