Return from Serve if the server was closed before

A node that was stopped right at its start could hang until its grace time was over: Close found no listener yet, and Serve then accepted connections for ever.

Close now leaves a mark, and a later Serve closes its listener and returns. io/httpd TestCloseBeforeServe failed before (Serve did not return within 5 s) and passes.

--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -61,7 +61,9 @@
 
 		// mu guards the following fields.
 		mu          sync.Mutex
-		listener    net.Listener
+		listener net.Listener
+		// closed is set by Close; a later Serve returns at once.
+		closed      bool
 		connections map[*connection]struct{}
 	}
 )
@@ -70,6 +72,10 @@
 // nil.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
 	s.listener = l
 	if s.connections == nil {
 		s.connections = make(map[*connection]struct{})
@@ -119,6 +125,7 @@
 func (s *Server) Close(ctx context.Context) error {
 	s.BeginClose()
 	s.mu.Lock()
+	s.closed = true
 	l := s.listener
 	s.mu.Unlock()
 	if l != nil {
--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -244,3 +244,21 @@
 	_, err = b.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// TestCloseBeforeServe guards against a server that accepts connections for ever because
+// it was closed just before it began to serve.
+func TestCloseBeforeServe(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &Server{}
+	is.NoErr(s.Close(t.Context()))
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(testTimeout):
+		t.Fatal("Serve did not return")
+	}
+}
