Bound answers without end from a target

TestEndlessAnswers (io/proxy) plays sixteen such answers against the client of the target, with bounds on memory (the size limits), on time (the request's own) and on the connection (closed afterwards).

Cause of the one that failed: answers to other requests were skipped without a bound, so a target that sends them without end kept the node busy until the deadline. They are now bounded, as interim answers are.

--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -60,7 +60,7 @@
 		group   conc.WaitGroup
 
 		// mu guards the following fields.
-		mu          sync.Mutex
+		mu       sync.Mutex
 		listener net.Listener
 		// closed is set by Close; a later Serve returns at once.
 		closed      bool
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -25,6 +25,8 @@
 	dialMillis = 500 * clock.Millis(1)
 	// maxInterim bounds the interim (1xx) responses before the final one.
 	maxInterim = 8
+	// maxStray bounds the responses to earlier requests before the one to this request.
+	maxStray = 8
 	// chunked and identity are the values by which fasthttp's ContentLength reports a
 	// body without a length: in chunks, and until the connection ends.
 	chunked, identity = -1, -2
@@ -75,9 +77,10 @@
 		// id is the caller's id of the request, which the response repeats; empty if
 		// the dialect has none.
 		id []byte
-		// bodyToEOF is set if the response body ended with its connection, and
-		// sawStray if a response to another request preceded it.
-		bodyToEOF, sawStray bool
+		// bodyToEOF is set if the response body ended with its connection.
+		bodyToEOF bool
+		// stray counts the responses to other requests that preceded it.
+		stray int
 	}
 )
 
@@ -91,6 +94,8 @@
 	errNoLength = errors.New("answer has neither a length nor chunks")
 	// errInterim reports a response that does not become final.
 	errInterim = errors.New("answer has too many or unusable interim responses")
+	// errStray reports a target that keeps answering other requests.
+	errStray = errors.New("too many answers to other requests")
 )
 
 // newTarget returns the client of the target at address.
@@ -253,11 +258,13 @@
 			break
 		}
 		// This is a late response to an earlier request on this connection.
-		x.sawStray = true
+		if x.stray++; x.stray > maxStray {
+			return false, errStray
+		}
 		x.resp.Reset()
 		x.resp.SkipBody = r.Method == fasthttp.MethodHead
 	}
-	return !x.bodyToEOF && !x.sawStray && b.Buffered() == 0, nil
+	return !x.bodyToEOF && x.stray == 0 && b.Buffered() == 0, nil
 }
 
 // read reads the final response. A body that ends with the connection looks complete
