--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -60,6 +60,9 @@
 		// valid if HasLoad is set.
 		HasLoad      bool
 		Free, Queued int
+		// LimitPerSecond is the limit of requests per second that a target stated; 0
+		// without one.
+		LimitPerSecond float64
 	}
 
 	// Sink records decisions. Record is safe for concurrent use.
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -213,6 +213,7 @@
 	setField(f, "Count", d.Count)
 	setField(f, "WaitMillis", float64(d.Wait))
 	setField(f, "TookMillis", float64(d.Took))
+	setField(f, "LimitPerSecond", d.LimitPerSecond)
 	if d.HasLoad {
 		f["Free"], f["Queued"] = d.Free, d.Queued
 	}
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/report"
 	"hickoryrail/core/result"
 )
 
@@ -34,6 +35,9 @@
 		// Unexecuted reports whether a response states that the request was not run.
 		// Nil means that no response does.
 		Unexecuted func(status int, header func(name string) []byte) bool
+		// Notice returns what a target states about itself in an answer. Nil means that
+		// answers state nothing.
+		Notice func(header func(name string) []byte) report.Notice
 		// ErrorStatus returns the HTTP status and the Retry-After delay for an
 		// outcome without a response from the target; a negative delay omits the
 		// header. Nil keeps the default status and omits the header.
--- a/io/proxy/gatetarget.go
+++ b/io/proxy/gatetarget.go
@@ -19,7 +19,7 @@
 		if g.target != nil {
 			g.target.close()
 		}
-		g.target = newTarget(a.Target, a.Address, a.Connections, g.Limits, &g.Dialect, &g.metrics.left)
+		g.setTarget(newTarget(a.Target, a.Address, a.Connections, g.Limits, &g.Dialect, &g.metrics.left))
 	}
 	g.target.client.SetMaxConns(int(a.Connections))
 	g.drained = nil
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -12,6 +12,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/once"
+	"hickoryrail/core/report"
 	"hickoryrail/core/result"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/wire"
@@ -100,6 +101,8 @@
 		mu     sync.Mutex
 		gate   admit.Gate
 		target *target
+		// notice is the last notice of the target.
+		notice report.Notice
 		// calls holds the calls that wait or run.
 		calls map[ident.RequestID]*gateCall
 		// byCallerID holds the calls at the gate by the request id that the caller
@@ -161,7 +164,7 @@
 	g.reschedule = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
 	g.byCallerID = make(map[ident.RequestID]*gateCall)
-	return g.metrics.register(g.Registry, g.Load)
+	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond)
 }
 
 // Running reports whether the local target runs the request to which its caller gave
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -29,12 +29,13 @@
 		verdicts [verdictCount]prometheus.Counter
 		voids    prometheus.Counter
 		left     leftCounters
+		leaving  prometheus.Counter
 		run      prometheus.Histogram
 	}
 )
 
 // register creates the collectors and registers them with r.
-func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load) error {
+func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load, limit func() float64) error {
 	decisions := stats.Counters("gateway_decisions_total", "Decisions of the admission gate.", "decision", "class")
 	for i := range classCount {
 		class := model.Class(i).String()
@@ -48,8 +49,10 @@
 	m.voids = stats.Counter("gateway_voids_total", "Voids that other nodes asked for.")
 	left, leftCollector := newLeftCounters("gateway_caller_left_total")
 	m.left = left
+	m.leaving = stats.Counter("gateway_leaving_notices_total", "Targets that stated in an answer that they leave.")
 	m.run = stats.Histogram("gateway_run_seconds", "Time that a started call spent at the target.", delayBuckets)
-	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.run,
+	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.leaving, m.run,
 		stats.GaugeFunc("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
-		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }))
+		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }),
+		stats.GaugeFunc("gateway_limit_per_second", "Requests per second that the target stated as its limit; -1 without one.", limit))
 }
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -14,6 +14,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/report"
 	"hickoryrail/core/result"
 	"hickoryrail/io/sock"
 	"hickoryrail/io/wire"
@@ -57,6 +58,9 @@
 		dialect *Dialect
 		left    *leftCounters
 		client  *fasthttp.HostClient
+		// noticed, if set, receives the notice of each answer and the instant before
+		// which its request was not sent.
+		noticed func(sentAt clock.Millis, n report.Notice)
 	}
 
 	// targetConn counts the bytes of the current request that the kernel accepted.
@@ -181,7 +185,7 @@
 			return nil, result.NewError(result.NotRun, leftReason(ctx), ctx.Err())
 		}
 		conn.used = true
-		resp, reusable, err := t.exchange(ctx, conn, r, until)
+		resp, reusable, err := t.exchange(ctx, conn, r, now, until)
 		if reusable {
 			t.client.ReleaseConn(cc)
 		} else {
@@ -191,9 +195,9 @@
 	}
 }
 
-// exchange sends r on conn and reads the response. It reports whether the connection
+// exchange sends r on conn, not before sentAt, and reads the response. It reports whether the connection
 // can be reused.
-func (t *target) exchange(ctx context.Context, conn *targetConn, r *wire.Request, until time.Time) (*wire.Response, bool, error) {
+func (t *target) exchange(ctx context.Context, conn *targetConn, r *wire.Request, sentAt clock.Millis, until time.Time) (*wire.Response, bool, error) {
 	x := exchange{conn: conn, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), deadline: until}
 	defer fasthttp.ReleaseRequest(x.req)
 	defer fasthttp.ReleaseResponse(x.resp)
@@ -207,6 +211,9 @@
 	if err != nil {
 		return nil, false, x.resultError(ctx, err)
 	}
+	if t.noticed != nil && t.dialect.Notice != nil {
+		t.noticed(sentAt, t.dialect.Notice(x.resp.Header.Peek))
+	}
 	if t.unexecuted(x.resp) {
 		return nil, clean && !x.resp.ConnectionClose(), result.NewError(result.NotRun, reasonUnexecuted, nil)
 	}
