Keep the limit of requests that a target states

Cause: the gate admits by slots only. A target that asks for less than its slots can run was never asked for less.

The sum over all nodes without a store call was weighed in three ways. Shares by the number of nodes, as for the retry budget: nodes that do not know each other exceed it, and at 300 nodes most shares are a fraction of a request. Permits that a target's node hands out: one more round trip, and permits that are lost with their holder. Chosen: the gate beside the target. Every request to a target passes its gate, which hears each answer first, so it counts the sum itself, in any fleet, with no message; a node that comes, goes, freezes or restarts holds no part of it.

Change: a token bucket in core/admit beside the slots, of the stated rate with a burst of half a second. A limit is lifted only by the answer to a request that was sent after the last answer with a limit, since answers can cross. Calls wait in the queue's order; one that the limit would delay beyond its goal or deadline is refused at once, with a reason of its own, and the load that a gate reports counts the limit, so that other nodes prefer other targets.

Open: a node of the build before keeps no limit for the target beside it.

--- a/core/admit/classqueue.go
+++ b/core/admit/classqueue.go
@@ -43,7 +43,7 @@
 // is none; it refuses neither if no other call of c's class waits.
 func (q *classQueue) push(now clock.Millis, c Call, actions []Action) []Action {
 	if now+q.expectedWait(c) > c.Deadline {
-		return append(actions, refuse(c.ID, ReasonWait))
+		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
 	}
 	if q.size() >= q.gate.QueueLength && len(q.lists[c.Class]) > 0 {
 		displaced, ok := q.displace(c.Class)
@@ -204,7 +204,8 @@
 }
 
 // expectedWait returns how long c would wait: the expected run times of the calls ahead
-// of it and one average run time for the running calls, divided by the slots.
+// of it and one average run time for the running calls, divided by the slots, but at
+// least until the limit of requests per second allows it to start.
 func (q *classQueue) expectedWait(c Call) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
@@ -220,10 +221,13 @@
 		sameClass++
 	}
 	work += clock.Millis(sameClass) * q.expectedRun(c.Class)
+	ahead := sameClass
 	for class := range model.Class(classCount) {
-		work += clock.Millis(q.countAhead(class, c.Class, sameClass)) * q.expectedRun(class)
+		n := q.countAhead(class, c.Class, sameClass)
+		ahead += n
+		work += clock.Millis(n) * q.expectedRun(class)
 	}
-	return work / clock.Millis(limit)
+	return max(work/clock.Millis(limit), q.gate.rate.wait(ahead))
 }
 
 // countAhead returns how many waiting calls of class start before a new call of newClass
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -4,6 +4,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
+	"hickoryrail/core/option"
 )
 
 const (
@@ -37,6 +38,9 @@
 	ReasonExpired = "deadline passed before the start"
 	// ReasonNoFreeSlot is a refusal of a call that fails fast.
 	ReasonNoFreeSlot = "no free slot soon, and the call looks for one"
+	// ReasonLimit is a refusal of a call that the target's limit of requests per second
+	// would delay for too long.
+	ReasonLimit = "target's limit of requests leaves no room in time"
 	// ReasonCancelled is a refusal of a waiting call that its caller cancelled.
 	ReasonCancelled = "cancelled while waiting"
 )
@@ -124,7 +128,7 @@
 	// owner serializes the method calls and sets the exported fields before the first
 	// one. The returned actions are valid until the next method call.
 	//
-	// Invariants: no start makes running plus announced calls exceed the smaller of
+	// Invariants: no start exceeds the target's limit of requests per second; no start makes running plus announced calls exceed the smaller of
 	// Slots and Connections; every call that arrives gets exactly one Start or
 	// Refuse; no call starts during a drain.
 	Gate struct {
@@ -154,6 +158,8 @@
 
 		// running holds the running calls.
 		running map[ident.RequestID]Call
+		// rate bounds the starts by the limit that the target stated.
+		rate rate
 		// waiting is nil until queue creates it.
 		waiting queue
 		// actions is the reused buffer of the returned slices.
@@ -221,6 +227,9 @@
 	if g.announced > 0 {
 		next = g.announcedUntil
 	}
+	if g.queued() > 0 {
+		next = min(next, g.rate.nextToken())
+	}
 	return min(next, g.queue().nextExpiry())
 }
 
@@ -259,7 +268,30 @@
 	return g.advance(now, g.actionBuffer())
 }
 
-// Load returns the number of free slots, 0 during a drain, and the queue's length.
+// SetLimit applies the limit of requests per second that the target stated, or stated no
+// longer, in an answer that arrived at now to a request that was sent at sentAt or later.
+func (g *Gate) SetLimit(now, sentAt clock.Millis, limit option.Option[float64]) []Action {
+	g.rate.state(now, sentAt, limit)
+	return g.advance(now, g.actionBuffer())
+}
+
+// Limit returns the limit of requests per second that the gate applies.
+func (g *Gate) Limit() option.Option[float64] {
+	if g.rate.perSecond == 0 {
+		return option.None[float64]()
+	}
+	return option.Some(g.rate.perSecond)
+}
+
+// ResetLimit removes the limit, because another target takes the place of the present
+// one.
+func (g *Gate) ResetLimit(now clock.Millis) []Action {
+	g.rate = rate{}
+	return g.advance(now, g.actionBuffer())
+}
+
+// Load returns the number of calls that may start now, 0 during a drain, and the
+// queue's length.
 func (g *Gate) Load() Load {
 	free := g.free()
 	if g.draining {
@@ -292,6 +324,7 @@
 	if g.announced > 0 && now >= g.announcedUntil {
 		g.announced = 0
 	}
+	g.rate.refill(now)
 	if g.queued() > 0 {
 		actions = g.waiting.expire(now, actions)
 	}
@@ -313,6 +346,7 @@
 		g.running = make(map[ident.RequestID]Call)
 	}
 	g.running[c.ID] = c
+	g.rate.take()
 	g.queue().started(now, c)
 }
 
@@ -333,9 +367,19 @@
 	return min(int(g.Slots), int(g.Connections))
 }
 
-// free returns the number of free slots; negative after the limits were lowered.
+// free returns the number of calls that may start now; negative after the limits were
+// lowered.
 func (g *Gate) free() int {
-	return g.limit() - g.Occupied()
+	return min(g.limit()-g.Occupied(), g.rate.available())
+}
+
+// waitReason returns ReasonLimit if calls wait for the target's limit of requests, and
+// otherwise the given reason for the refusal of a call that would wait for too long.
+func (g *Gate) waitReason(reason string) string {
+	if g.rate.available() == 0 {
+		return ReasonLimit
+	}
+	return reason
 }
 
 // queued returns the number of waiting calls.
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -55,7 +55,7 @@
 	end := now + q.expectedWait(c) + q.expectedRun(c.Rank)
 	switch {
 	case end > c.Deadline:
-		return append(actions, refuse(c.ID, ReasonWait))
+		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
 	case q.size() >= q.gate.QueueLength:
 		return append(actions, refuse(c.ID, ReasonFull))
 	case c.Rank != InnerRank && c.Goal > 0 && end > c.Goal:
@@ -72,7 +72,7 @@
 // pushLate queues a call that will miss its goal, or refuses it if lateShare is used up.
 func (q *goalQueue) pushLate(c Call, actions []Action) []Action {
 	if len(q.late) >= max(int(lateShare*float64(q.gate.limit())), 1) {
-		return append(actions, refuse(c.ID, ReasonGoal))
+		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonGoal)))
 	}
 	at, _ := slices.BinarySearchFunc(q.late, c.Deadline, func(w Call, d clock.Millis) int {
 		return cmp.Or(cmp.Compare(w.Deadline, d), -1)
@@ -193,7 +193,8 @@
 }
 
 // expectedWait returns how long c would wait: the expected run times of the calls ahead
-// of it and one average run time for the running calls, divided by the slots.
+// of it and one average run time for the running calls, divided by the slots, but at
+// least until the limit of requests per second allows it to start.
 func (q *goalQueue) expectedWait(c Call) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
@@ -203,14 +204,17 @@
 	for _, r := range q.gate.running {
 		work += q.expectedRun(min(r.Rank, LastRank)) / clock.Millis(len(q.gate.running))
 	}
+	ahead := 0
 	for rank := range c.Rank {
+		ahead += len(q.lists[rank])
 		work += clock.Millis(len(q.lists[rank])) * q.expectedRun(rank)
 	}
 	sameRank := 0
 	for sameRank < len(q.lists[c.Rank]) && q.lists[c.Rank][sameRank].effectiveGoal() <= c.effectiveGoal() {
 		sameRank++
 	}
-	return (work + clock.Millis(sameRank)*q.expectedRun(c.Rank)) / clock.Millis(limit)
+	forSlot := (work + clock.Millis(sameRank)*q.expectedRun(c.Rank)) / clock.Millis(limit)
+	return max(forSlot, q.gate.rate.wait(ahead+sameRank))
 }
 
 // expectedRun returns the average run time of a rank, or RunMillis before its first call
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -42,16 +42,23 @@
 	g.apply(now, g.gate.Arrive(now, call))
 	if !c.decided {
 		c.wake = make(chan struct{})
-		if g.gate.Next() < g.tickAt {
-			select {
-			case g.reschedule <- struct{}{}:
-			default: // a signal is already pending
-			}
-		}
+		g.rescheduleTick()
 	}
 	return g.target, nil, nil
 }
 
+// rescheduleTick makes Run call tick earlier than planned if the gate needs it. The
+// caller holds mu.
+func (g *Gateway) rescheduleTick() {
+	if g.gate.Next() >= g.tickAt {
+		return
+	}
+	select {
+	case g.reschedule <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
 // refuse logs and returns the response to a call that does not reach the gate. The
 // caller holds mu.
 func (g *Gateway) refuse(now clock.Millis, r *wire.Request, v result.Verdict, reason string) *wire.Response {
@@ -80,6 +87,7 @@
 	id := c.request.ID
 	g.mu.Lock()
 	g.apply(now, g.gate.Finish(now, id, took))
+	g.rescheduleTick()
 	resp.Load = g.gate.Load()
 	var kept []byte
 	if keep && resp.Verdict == result.Ran {
--- a/io/proxy/gatenotice.go
+++ b/io/proxy/gatenotice.go
@@ -2,6 +2,7 @@
 
 import (
 	"hickoryrail/core/clock"
+	"hickoryrail/core/option"
 	"hickoryrail/core/report"
 	"hickoryrail/io/logs"
 )
@@ -19,50 +20,53 @@
 // setTarget makes t the target of the gate. The caller holds mu.
 func (g *Gateway) setTarget(t *target) {
 	t.noticed = func(sentAt clock.Millis, n report.Notice) { g.noticed(t, sentAt, n) }
-	g.target, g.notice = t, report.Notice{}
+	g.target, g.leaving = t, false
+	g.apply(g.Clock.Now(), g.gate.ResetLimit(g.Clock.Now()))
 }
 
 // noticed handles what a target stated in an answer to a request that was not sent
 // before sentAt. The notice of an earlier target has no effect.
-func (g *Gateway) noticed(t *target, _ clock.Millis, n report.Notice) {
+func (g *Gateway) noticed(t *target, sentAt clock.Millis, n report.Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target != t {
 		return
 	}
 	now := g.Clock.Now()
-	if n.LimitMalformed {
-		n.Limit = g.notice.Limit
+	if !n.LimitMalformed {
+		g.limitNoticed(now, sentAt, n.Limit)
 	}
-	earlier := g.notice
-	g.notice = n
-	if earlier.Limit.IsSome() != n.Limit.IsSome() {
-		g.recordNotice(now, reasonOfLimit(n))
-	}
-	if n.Leaving && !earlier.Leaving {
+	if n.Leaving && !g.leaving {
+		g.leaving = true
 		g.metrics.leaving.Inc()
 		g.recordNotice(now, reasonLeaving)
 	}
 }
 
-// reasonOfLimit returns the reason of the log line for a changed limit.
-func reasonOfLimit(n report.Notice) string {
-	if n.Limit.IsSome() {
-		return reasonLimitNamed
+// limitNoticed passes a limit that an answer stated, or did not state, to the gate. The
+// caller holds mu.
+func (g *Gateway) limitNoticed(now, sentAt clock.Millis, limit option.Option[float64]) {
+	earlier := g.gate.Limit()
+	g.apply(now, g.gate.SetLimit(now, sentAt, limit))
+	g.rescheduleTick()
+	switch later := g.gate.Limit(); {
+	case !earlier.IsSome() && later.IsSome():
+		g.recordNotice(now, reasonLimitNamed)
+	case earlier.IsSome() && !later.IsSome():
+		g.recordNotice(now, reasonLimitLifted)
 	}
-	return reasonLimitLifted
 }
 
 // recordNotice writes a line to the decision log. The caller holds mu.
 func (g *Gateway) recordNotice(now clock.Millis, reason string) {
 	g.Log.Record(logs.Decision{
-		At: now, Kind: logs.Member, Node: g.Self, Target: g.target.id, Reason: reason, LimitPerSecond: g.notice.Limit.Or(0),
+		At: now, Kind: logs.Member, Node: g.Self, Target: g.target.id, Reason: reason, LimitPerSecond: g.gate.Limit().Or(0),
 	})
 }
 
-// limitPerSecond returns the limit that the target stated, or noLimit.
+// limitPerSecond returns the limit that the gate applies, or noLimit.
 func (g *Gateway) limitPerSecond() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.notice.Limit.Or(noLimit)
+	return g.gate.Limit().Or(noLimit)
 }
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -12,7 +12,6 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/once"
-	"hickoryrail/core/report"
 	"hickoryrail/core/result"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/wire"
@@ -101,8 +100,8 @@
 		mu     sync.Mutex
 		gate   admit.Gate
 		target *target
-		// notice is the last notice of the target.
-		notice report.Notice
+		// leaving is set once the target has stated that it leaves.
+		leaving bool
 		// calls holds the calls that wait or run.
 		calls map[ident.RequestID]*gateCall
 		// byCallerID holds the calls at the gate by the request id that the caller
--- a/io/proxy/status.go
+++ b/io/proxy/status.go
@@ -24,6 +24,7 @@
 	admit.ReasonFull:      fasthttp.StatusTooManyRequests,
 	admit.ReasonDisplaced: fasthttp.StatusTooManyRequests,
 	admit.ReasonWait:      fasthttp.StatusTooManyRequests,
+	admit.ReasonLimit:     fasthttp.StatusTooManyRequests,
 	once.ReasonClaimed:    fasthttp.StatusConflict,
 	once.ReasonMalformed:  fasthttp.StatusConflict,
 	once.ReasonKeyReused:  fasthttp.StatusUnprocessableEntity,
