Send nothing to a target that states that it leaves

Until now only the target's reports counted. A target that says nothing in them, or whose reports go on saying that it is ready, got work until it was gone.

Change: the gate beside the target takes such an answer for a report that the target drains, by the tracker that orders reports, so that a later report that it is ready does not bring it back, and a restart of the target does. Other nodes learn of it as of any drain. A gate that restarts forgets it, and the target may serve for many seconds more, so each node that passed on such an answer keeps the target out of its own choices for a minute, or until its gate, which has not restarted, takes it back.

Tests: io/node TestLeavingAnswerDrains (failed with the gate's callback left out), core/route TestLeavingTargetGetsNoCalls and TestLeavingIsForgotten, io/proxy TestGateKeepsStatedLimit for the limit with sockets.

--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -73,11 +73,16 @@
 	return n
 }
 
-// recordEvent stores an event until Events returns it.
+// recordEvent stores the event of an ejection or its end.
 func (p *Picker) recordEvent(now clock.Millis, e *endpoint, reason string) {
-	p.events[p.written%maxEvents] = Event{
+	p.storeEvent(Event{
 		At: now, Service: e.group.name, Target: e.target.ID,
 		Ejected: e.ejected, Until: e.ejectedUntil, Reason: reason,
-	}
+	})
+}
+
+// storeEvent stores an event until Events returns it.
+func (p *Picker) storeEvent(e Event) {
+	p.events[p.written%maxEvents] = e
 	p.written++
 }
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -77,6 +77,10 @@
 		ejected   bool
 		// ejectedUntil is the end of the last ejection.
 		ejectedUntil clock.Millis
+		// leavingUntil is the end of the time in which the target gets no calls, because
+		// it stated that it leaves. A gate that restarts forgets such a statement, and
+		// the target may serve for many seconds more.
+		leavingUntil clock.Millis
 	}
 )
 
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -109,13 +109,16 @@
 		// Load is the gate's load report; valid if HasLoad.
 		Load    admit.Load
 		HasLoad bool
+		// Leaving means that the target stated in its answer that it leaves.
+		Leaving bool
 		// Gate is the incarnation of the gate that the attempt was addressed to. The
 		// outcome of an earlier incarnation ends the call but is not counted for the
 		// target; 0 means the present incarnation.
 		Gate ident.Incarnation
 	}
 
-	// Event is the start or the end of an ejection.
+	// Event is the start or the end of an ejection, or the exclusion of a target that
+	// leaves.
 	Event struct {
 		At      clock.Millis
 		Service ident.ServiceName
@@ -185,6 +188,9 @@
 			p.targets[t.ID] = e
 		case e.target.GateIncarnation != t.GateIncarnation:
 			e.restart(now)
+		case e.leftAt <= now:
+			// Its gate remembers that it left, and takes it back only after a restart.
+			e.leavingUntil = 0
 		}
 		e.target, e.group, e.present, e.leftAt = t, g, true, clock.Forever
 		e.distanceFactor = p.distanceFactor(t)
@@ -232,7 +238,7 @@
 		if e.ejected && now >= e.ejectedUntil {
 			p.readmit(now, e, "ejection time is over")
 		}
-		if !e.ejected && !slices.Contains(exclude, e.target.ID) {
+		if !e.ejected && now >= e.leavingUntil && !slices.Contains(exclude, e.target.ID) {
 			eligible[n] = e
 			n++
 		}
@@ -328,6 +334,9 @@
 	}
 	e.inFlight--
 	e.noOutcomeSince = now
+	if o.Leaving {
+		p.markLeaving(now, e)
+	}
 	if !e.present || (o.Gate != 0 && o.Gate != e.target.GateIncarnation) {
 		return
 	}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -185,6 +185,7 @@
 	}
 	n.fleet.releases.OnRefuse = n.fleet.releaseRefused
 	n.localTarget = &localTarget{renewalTimeout: hostedRenewalTimeoutMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
+	n.gateway.OnLeaving = n.localTarget.leaves
 	n.status = &status{fleet: n.fleet, stopping: n.stopping.Load}
 	n.tableRandom = splitRandom(random)
 }
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -21,6 +21,7 @@
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/plat"
+	"hickoryrail/io/proxy"
 )
 
 type (
@@ -40,6 +41,8 @@
 		waits, reads int
 		// controls holds the Control of each node, in order of their start.
 		controls []Control
+		// dialect is that of the nodes; set before they start.
+		dialect proxy.Dialect
 	}
 
 	// noopEndpoint is an endpoint without a server.
@@ -151,7 +154,7 @@
 		t.Fatal(err)
 	}
 	n, err := NewHosted(Hosted{
-		Settings: s, Source: h, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Settings: s, Dialect: h.dialect, Source: h, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -233,6 +233,7 @@
 	n.fleet.readRelease = func(ident.Version, ident.Digest) { n.reader.requestRead() }
 	n.fleet.needSource = n.reader.requestRead
 	n.localTarget = &localTarget{renewalTimeout: renewalTimeoutMillis, clock: n.clock, gateway: n.gateway, fleet: n.fleet, log: n.decisions}
+	n.gateway.OnLeaving = n.localTarget.leaves
 	n.status = &status{fleet: n.fleet, lease: n.reader.leaseStatus, stopping: n.stopping.Load}
 	n.tableRandom = splitRandom(random)
 	return nil
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -125,6 +125,7 @@
 	} else {
 		o.Failed = failedAtTarget(resp)
 		o.Load, o.HasLoad = resp.Load, true
+		o.Leaving = in.Dialect.statesLeaving(resp)
 	}
 	o.Verdict = resp.Verdict
 	in.mu.Lock()
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -7,6 +7,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/report"
 	"hickoryrail/core/result"
+	"hickoryrail/io/wire"
 )
 
 type (
@@ -89,3 +90,11 @@
 	echoed := header(d.RequestIDHeader)
 	return len(echoed) == 0 || bytes.Equal(echoed, id)
 }
+
+// statesLeaving reports whether a target stated in its answer that it leaves.
+func (d *Dialect) statesLeaving(resp *wire.Response) bool {
+	if d.Notice == nil || resp.Verdict != result.Ran {
+		return false
+	}
+	return d.Notice(resp.Headers.Get).Leaving
+}
--- a/io/proxy/gatenotice.go
+++ b/io/proxy/gatenotice.go
@@ -27,20 +27,30 @@
 // noticed handles what a target stated in an answer to a request that was not sent
 // before sentAt. The notice of an earlier target has no effect.
 func (g *Gateway) noticed(t *target, sentAt clock.Millis, n report.Notice) {
+	if g.applyNotice(t, sentAt, n) && g.OnLeaving != nil {
+		g.OnLeaving(t.id, sentAt)
+	}
+}
+
+// applyNotice passes a limit to the gate and reports whether the target states for the
+// first time that it leaves.
+func (g *Gateway) applyNotice(t *target, sentAt clock.Millis, n report.Notice) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target != t {
-		return
+		return false
 	}
 	now := g.Clock.Now()
 	if !n.LimitMalformed {
 		g.limitNoticed(now, sentAt, n.Limit)
 	}
-	if n.Leaving && !g.leaving {
-		g.leaving = true
-		g.metrics.leaving.Inc()
-		g.recordNotice(now, reasonLeaving)
+	if !n.Leaving || g.leaving {
+		return false
 	}
+	g.leaving = true
+	g.metrics.leaving.Inc()
+	g.recordNotice(now, reasonLeaving)
+	return true
 }
 
 // limitNoticed passes a limit that an answer stated, or did not state, to the gate. The
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -87,6 +87,10 @@
 		AgeingMillis   clock.Millis
 		RunMillis      clock.Millis
 		OccupiedMillis clock.Millis
+		// OnLeaving, if set, is called when the target states in an answer that it
+		// leaves. The request of that answer was not sent before sentAt. It is called
+		// without a lock, once for a target until its next announcement.
+		OnLeaving func(id ident.TargetID, sentAt clock.Millis)
 		// Log receives the admission decisions; nil discards them.
 		Log logs.Sink
 		// Registry registers the metrics; nil leaves them unregistered.
--- a/io/wire/headers.go
+++ b/io/wire/headers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"iter"
+	"strings"
 )
 
 // Headers is a list of header fields in one block of bytes, so that copying,
@@ -44,6 +45,16 @@
 	}
 }
 
+// Get returns the value of the first field with a name, in any case, or nil.
+func (h Headers) Get(name string) []byte {
+	for n, value := range h.All() {
+		if len(n) == len(name) && strings.EqualFold(string(n), name) {
+			return value
+		}
+	}
+	return nil
+}
+
 // valid reports whether the list is well formed, no value contains a control
 // character other than a tab, and there are at most MaxCallHeaders fields.
 func (h Headers) valid() bool {
