Keep defaults in one place, split gate.go and picker.go

The replacement of a setting that is not set by its default stood in seven places with three names. option.OrDefault and option.SetDefault serve them now. core/retry keeps its own, because there a negative value means none. A negative limit of io/peer now has its default like a zero one; nothing sets one.

The two tests of hosted nodes share the function that sends a request. No decision changes; the tests of core and io pass.

--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -5,6 +5,7 @@
 	"container/list"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/option"
 )
 
 const (
@@ -86,8 +87,5 @@
 
 // maxCallers returns MaxCallers or its default.
 func (l *Limiter[K]) maxCallers() int {
-	if l.MaxCallers <= 0 {
-		return DefaultMaxCallers
-	}
-	return l.MaxCallers
+	return option.OrDefault(l.MaxCallers, DefaultMaxCallers)
 }
--- a/core/once/dedup.go
+++ b/core/once/dedup.go
@@ -5,6 +5,7 @@
 import (
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/option"
 	"hickoryrail/core/result"
 )
 
@@ -210,10 +211,7 @@
 
 // keepMillis returns KeepMillis, or its default if unset.
 func (d *Dedup) keepMillis() clock.Millis {
-	if d.KeepMillis <= 0 {
-		return DefaultKeepMillis
-	}
-	return d.KeepMillis
+	return option.OrDefault(d.KeepMillis, DefaultKeepMillis)
 }
 
 // evictResponses removes the oldest responses until the rest fits MaxBytes. The ids
@@ -229,18 +227,12 @@
 
 // maxRecords returns MaxRecords, or its default if unset.
 func (d *Dedup) maxRecords() int {
-	if d.MaxRecords <= 0 {
-		return DefaultMaxRecords
-	}
-	return d.MaxRecords
+	return option.OrDefault(d.MaxRecords, DefaultMaxRecords)
 }
 
 // maxBytes returns MaxBytes, or its default if unset.
 func (d *Dedup) maxBytes() ident.Bytes {
-	if d.MaxBytes <= 0 {
-		return DefaultMaxBytes
-	}
-	return d.MaxBytes
+	return option.OrDefault(d.MaxBytes, DefaultMaxBytes)
 }
 
 // decision returns the decision on a duplicate of the request or on a void.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -91,7 +91,8 @@
 	b.tokens = min(b.tokens+n, orDefault(b.Burst, DefaultBurst))
 }
 
-// orDefault returns v, or d if v is 0.
+// orDefault returns v, or d if v is 0. Unlike option.OrDefault it keeps negative values,
+// which mean none.
 func orDefault[T int | float64 | clock.Millis](v, d T) T {
 	if v == 0 {
 		return d
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// MaxSubset bounds the targets of one service that a picker considers.
-	MaxSubset = 16
 	// maxEvents bounds the ejection events that Events has not returned yet; the
 	// oldest ones are overwritten.
 	maxEvents = 64
@@ -40,36 +38,6 @@
 )
 
 type (
-	// Limits are the settings of a Picker; a zero field means the default.
-	Limits struct {
-		// Subset is the number of targets per service, at most MaxSubset.
-		Subset int
-		// EjectAfter is the number of consecutive failures that ejects a target.
-		EjectAfter int
-		// EjectMillis is the duration of the first ejection; it doubles with each one.
-		EjectMillis clock.Millis
-		// EjectMaxMillis bounds the duration of an ejection.
-		EjectMaxMillis clock.Millis
-		// SlowStartMillis is the time in which a new target's share of the traffic
-		// grows to its full value.
-		SlowStartMillis clock.Millis
-		// ReportMillis is the age at which a load report has weight 0.5.
-		ReportMillis clock.Millis
-		// IdleMillis is the time without calls after which the measured delay and
-		// failure rate have weight 0.5.
-		IdleMillis clock.Millis
-		// StaleMillis is the time without calls after which a target gets one
-		// whatever its score.
-		StaleMillis clock.Millis
-		// DomainFactor multiplies the score of a target in another failure domain.
-		DomainFactor float64
-		// RegionFactor multiplies the score of a target in another region.
-		RegionFactor float64
-		// LocalPair adds two candidates of this node's failure domain to the two
-		// random ones.
-		LocalPair bool
-	}
-
 	// Picker chooses targets by power of two choices over a bounded subset. It
 	// is not safe for concurrent use.
 	Picker struct {
@@ -131,16 +99,6 @@
 	}
 )
 
-// DefaultLimits returns the defaults of all fields of Limits.
-func DefaultLimits() Limits {
-	return Limits{
-		Subset: MaxSubset, EjectAfter: 3, EjectMillis: clock.Second, EjectMaxMillis: clock.Minute,
-		SlowStartMillis: 10 * clock.Second, ReportMillis: clock.Second, IdleMillis: 5 * clock.Second,
-		StaleMillis:  20 * clock.Second,
-		DomainFactor: 1.25, RegionFactor: 2,
-	}
-}
-
 // SetView replaces the targets. It keeps the state of targets that stay, and of those
 // that return within Limits.EjectMaxMillis or while calls to them are in flight.
 func (p *Picker) SetView(now clock.Millis, v *view.View) {
@@ -379,27 +337,3 @@
 	}
 	return out
 }
-
-// orDefaults replaces zero fields by their defaults and bounds Subset.
-func (l Limits) orDefaults() Limits {
-	d := DefaultLimits()
-	orDefault(&l.Subset, d.Subset)
-	orDefault(&l.EjectAfter, d.EjectAfter)
-	orDefault(&l.EjectMillis, d.EjectMillis)
-	orDefault(&l.EjectMaxMillis, d.EjectMaxMillis)
-	orDefault(&l.SlowStartMillis, d.SlowStartMillis)
-	orDefault(&l.ReportMillis, d.ReportMillis)
-	orDefault(&l.IdleMillis, d.IdleMillis)
-	orDefault(&l.StaleMillis, d.StaleMillis)
-	orDefault(&l.DomainFactor, d.DomainFactor)
-	orDefault(&l.RegionFactor, d.RegionFactor)
-	l.Subset = min(l.Subset, MaxSubset)
-	return l
-}
-
-// orDefault sets v to d if it is not positive.
-func orDefault[T int | float64 | clock.Millis](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
--- a/core/stall/detector.go
+++ b/core/stall/detector.go
@@ -7,6 +7,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/option"
 )
 
 const (
@@ -182,16 +183,10 @@
 
 // probeMillis returns ProbeMillis or its default.
 func (d *Detector) probeMillis() clock.Millis {
-	if d.ProbeMillis <= 0 {
-		return DefaultProbeMillis
-	}
-	return d.ProbeMillis
+	return option.OrDefault(d.ProbeMillis, DefaultProbeMillis)
 }
 
 // giveUpMillis returns GiveUpMillis or its default.
 func (d *Detector) giveUpMillis() clock.Millis {
-	if d.GiveUpMillis <= 0 {
-		return DefaultGiveUpMillis
-	}
-	return d.GiveUpMillis
+	return option.OrDefault(d.GiveUpMillis, DefaultGiveUpMillis)
 }
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -17,6 +17,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/option"
 )
 
 const (
@@ -167,8 +168,5 @@
 
 // pipeline returns the effective value of Pipeline.
 func (s *Server) pipeline() int {
-	if s.Pipeline > 0 {
-		return s.Pipeline
-	}
-	return DefaultPipeline
+	return option.OrDefault(s.Pipeline, DefaultPipeline)
 }
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -183,6 +183,25 @@
 	t.Fatalf("not reached: %s", what)
 }
 
+// statusOf sends a request for the service orders and returns the status of its answer.
+func statusOf(t *testing.T, n *Node) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.CallerAddress()+"/o/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "orders.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
 // targetReport returns a report of a target of the service orders.
 func targetReport(id ident.TargetID, address string, sequence uint64) admin.Report {
 	return admin.Report{
@@ -207,17 +226,7 @@
 	t.Cleanup(func() { _ = target.Close() })
 	is.NoErr(h.controls[1].Report(targetReport("t", l.Addr().String(), 1)))
 	await(t, "a target at the other node", func() bool { return a.RoutableTargets() == 1 && a.Ready() && b.Ready() })
-	get := func(n *Node) int {
-		req, err := http.NewRequest(http.MethodGet, "http://"+n.CallerAddress()+"/o/1", nil)
-		is.NoErr(err)
-		req.Host = "orders.example"
-		resp, err := http.DefaultClient.Do(req)
-		is.NoErr(err)
-		defer resp.Body.Close()
-		_, err = io.Copy(io.Discard, resp.Body)
-		is.NoErr(err)
-		return resp.StatusCode
-	}
+	get := func(n *Node) int { return statusOf(t, n) }
 	for _, n := range []*Node{a, b} {
 		await(t, "an answer of the target", func() bool { return get(n) == http.StatusOK })
 	}
--- a/io/node/leaving_test.go
+++ b/io/node/leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -38,17 +37,7 @@
 	a, _ := h.start(t, "a")
 	b, _ := h.start(t, "b")
 	is.NoErr(h.controls[1].Report(targetReport("t", l.Addr().String(), 1)))
-	get := func(n *Node) int {
-		req, err := http.NewRequest(http.MethodGet, "http://"+n.CallerAddress()+"/o/1", nil)
-		is.NoErr(err)
-		req.Host = "orders.example"
-		resp, err := http.DefaultClient.Do(req)
-		is.NoErr(err)
-		defer resp.Body.Close()
-		_, err = io.Copy(io.Discard, resp.Body)
-		is.NoErr(err)
-		return resp.StatusCode
-	}
+	get := func(n *Node) int { return statusOf(t, n) }
 	for _, n := range []*Node{a, b} {
 		await(t, "an answer of the target", func() bool { return n.Ready() && get(n) == http.StatusOK })
 	}
--- a/io/peer/limits.go
+++ b/io/peer/limits.go
@@ -1,6 +1,9 @@
 package peer
 
-import "hickoryrail/core/clock"
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/option"
+)
 
 // Limits bounds the resources and waits of a transport. A field that is 0 is replaced
 // by its default.
@@ -46,21 +49,14 @@
 // withDefaults returns l with defaults in place of zero fields.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	setDefault(&l.BodyBytes, d.BodyBytes)
-	setDefault(&l.ControlBytes, d.ControlBytes)
-	setDefault(&l.Connections, d.Connections)
-	setDefault(&l.Streams, d.Streams)
-	setDefault(&l.ControlPeers, d.ControlPeers)
-	setDefault(&l.ControlQueue, d.ControlQueue)
-	setDefault(&l.HandshakeMillis, d.HandshakeMillis)
-	setDefault(&l.IdleMillis, d.IdleMillis)
-	setDefault(&l.ControlStallMillis, d.ControlStallMillis)
+	option.SetDefault(&l.BodyBytes, d.BodyBytes)
+	option.SetDefault(&l.ControlBytes, d.ControlBytes)
+	option.SetDefault(&l.Connections, d.Connections)
+	option.SetDefault(&l.Streams, d.Streams)
+	option.SetDefault(&l.ControlPeers, d.ControlPeers)
+	option.SetDefault(&l.ControlQueue, d.ControlQueue)
+	option.SetDefault(&l.HandshakeMillis, d.HandshakeMillis)
+	option.SetDefault(&l.IdleMillis, d.IdleMillis)
+	option.SetDefault(&l.ControlStallMillis, d.ControlStallMillis)
 	return l
 }
-
-// setDefault sets a zero value to its default.
-func setDefault[T int | clock.Millis](value *T, defaultValue T) {
-	if *value == 0 {
-		*value = defaultValue
-	}
-}
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -12,6 +12,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/once"
+	"hickoryrail/core/option"
 	"hickoryrail/core/result"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/wire"
@@ -153,11 +154,11 @@
 	}
 	g.Limits = g.Limits.withDefaults()
 	g.Dialect = g.Dialect.withDefaults()
-	setDefault(&g.QueueLength, DefaultQueueLength)
-	setDefault(&g.MaxRecords, DefaultMaxRecords)
-	setDefault(&g.AgeingMillis, DefaultAgeingMillis)
-	setDefault(&g.RunMillis, DefaultRunMillis)
-	setDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
+	option.SetDefault(&g.QueueLength, DefaultQueueLength)
+	option.SetDefault(&g.MaxRecords, DefaultMaxRecords)
+	option.SetDefault(&g.AgeingMillis, DefaultAgeingMillis)
+	option.SetDefault(&g.RunMillis, DefaultRunMillis)
+	option.SetDefault(&g.OccupiedMillis, DefaultOccupiedMillis)
 	g.gate = admit.Gate{
 		Order:       g.Order,
 		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis, ActionEvery: ActionEvery,
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -19,6 +19,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/limit"
+	"hickoryrail/core/option"
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
@@ -149,7 +150,7 @@
 		in.Log = logs.Discard{}
 	}
 	in.Limits = in.Limits.withDefaults()
-	setDefault(&in.LingerMillis, DefaultLingerMillis)
+	option.SetDefault(&in.LingerMillis, DefaultLingerMillis)
 	var nonce [8]byte
 	if _, err := rand.Read(nonce[:]); err != nil {
 		return err
--- a/io/proxy/limits.go
+++ b/io/proxy/limits.go
@@ -3,8 +3,8 @@
 package proxy
 
 import (
-	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/option"
 	"hickoryrail/io/wire"
 )
 
@@ -31,8 +31,8 @@
 
 // withDefaults returns l with the defaults of its zero fields.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.BodyBytes, DefaultBodyBytes)
-	setDefault(&l.HeaderBytes, DefaultHeaderBytes)
+	option.SetDefault(&l.BodyBytes, DefaultBodyBytes)
+	option.SetDefault(&l.HeaderBytes, DefaultHeaderBytes)
 	return l
 }
 
@@ -41,10 +41,3 @@
 	l = l.withDefaults()
 	return int(l.BodyBytes) + int(l.HeaderBytes) + wire.CallOverheadBytes
 }
-
-// setDefault sets v to d if it is not positive.
-func setDefault[T int | ident.Bytes | clock.Millis](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
