Leave room in the retry budget for calls of repeated requests

The margin goes from 0.8 to 0.7 of the bound. TestWindowBudgetLeavesRoomForCalls replays the load (a quarter of 80 nodes make 35 in 100 of their calls for repeated requests): it failed with 0.8. Three tests stated their budgets as multiples of the margin 0.8; they now name the margin and expect the same numbers of retries.

Open: with a still greater skew between nodes, the sum can exceed the bound, since nothing bounds the calls of repeated requests themselves.

--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -8,10 +8,11 @@
 const (
 	// windowBuckets is the number of buckets of a window.
 	windowBuckets = 10
-	// windowMargin is the fraction of the bound that is used. The rest allows for
-	// differences between the counts of the nodes: requests in transit, and nodes that
-	// are not yet known to each other.
-	windowMargin = 0.8
+	// windowMargin is the fraction of the bound that is used. The rest allows for calls
+	// of repeated requests, which need no permission and of which some nodes make more
+	// than their part, for requests in transit, and for nodes that are not yet known to
+	// each other.
+	windowMargin = 0.7
 )
 
 type (
--- a/core/retry/windowbudget_test.go
+++ b/core/retry/windowbudget_test.go
@@ -67,11 +67,40 @@
 	})
 }
 
+// TestWindowBudgetLeavesRoomForCalls guards against a sum above the bound when some nodes
+// make many calls for repeated requests, which need no permission, and all others use up
+// their parts. It replays the load of a day at 80 nodes: a quarter of them, whose targets
+// run most of the repeated requests, make 35 in 100 of their calls for such requests.
+func TestWindowBudgetLeavesRoomForCalls(t *testing.T) {
+	is := is.New(t)
+	const (
+		nodes, ratio, fixed = 80, 0.2, 202
+		requestsPerNode     = 213 // in a window
+		windowMillis        = 10 * clock.Second
+	)
+	repeats := 0
+	for i := range nodes {
+		b := &WindowBudget{Ratio: ratio, Fixed: fixed, WindowMillis: windowMillis, Nodes: nodes}
+		for r := range requestsPerNode {
+			now := windowMillis * clock.Millis(r) / requestsPerNode
+			b.RecordRequest(now, "s")
+			if i%4 == 0 && r%100 < 35 {
+				b.RecordRepeat(now, "s")
+				repeats++
+			}
+			for b.Take(now, "s") {
+				repeats++
+			}
+		}
+	}
+	is.True(float64(repeats) <= ratio*nodes*requestsPerNode+fixed)
+}
+
 // TestWindowBudgetRecordRepeat guards against calls of retried requests that are not
 // counted as repeated arrivals.
 func TestWindowBudgetRecordRepeat(t *testing.T) {
 	is := is.New(t)
-	b := &WindowBudget{Ratio: 0, Fixed: 10, WindowMillis: 10 * clock.Second, Nodes: 1}
+	b := &WindowBudget{Ratio: 0, Fixed: 8.01 / windowMargin, WindowMillis: 10 * clock.Second, Nodes: 1}
 	for range 7 {
 		b.RecordRepeat(0, "s")
 	}
@@ -86,7 +115,7 @@
 // against repeated arrivals that aren't counted in the budget.
 func TestRefusalsByGatesAreFree(t *testing.T) {
 	is := is.New(t)
-	b := &WindowBudget{Fixed: 1.25, WindowMillis: 10 * clock.Second, Nodes: 1} // one repeat with the margin
+	b := &WindowBudget{Fixed: 1.01 / windowMargin, WindowMillis: 10 * clock.Second, Nodes: 1} // one repeat with the margin
 	p := &Policy{WindowBudget: b, Rand: rand.New(rand.NewPCG(1, 2))}
 	r := model.Route{Service: "s", MaxAttempts: 2, TimeoutMillis: 1000}
 	s := CallState{Route: r, Deadline: 1000}
@@ -109,7 +138,7 @@
 func TestAfterFailure(t *testing.T) {
 	is := is.New(t)
 	p := &Policy{
-		WindowBudget: &WindowBudget{Fixed: 1.25, WindowMillis: 10 * clock.Second, Nodes: 1}, RetryFailures: true,
+		WindowBudget: &WindowBudget{Fixed: 1.01 / windowMargin, WindowMillis: 10 * clock.Second, Nodes: 1}, RetryFailures: true,
 		Rand: rand.New(rand.NewPCG(1, 2)),
 	}
 	r := model.Route{Service: "s", MaxAttempts: 2, Idempotent: true, GoalMillis: 200}
