Take a leaving only from answers since the last announcement, at the gate

Read of the diff: the answer to a request from before an announcement was ignored by the state of the local target, but the gate had taken note of it and passed on no later one, so a target that was announced again while it left could have gone on getting work. The gate now compares the times itself. ResetLimit starts no waiting call by itself, because the slots of the new target are set after it.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -78,8 +78,8 @@
 	// owner serializes the method calls and sets the exported fields before the first
 	// one. The returned actions are valid until the next method call.
 	//
-	// Invariants: no start exceeds the target's limit of requests per second; no start makes running plus announced calls exceed the smaller of
-	// Slots and Connections; every call that arrives gets exactly one Start or
+	// Invariants: no start exceeds the target's limit of requests per second, or makes
+	// running plus announced calls exceed the smaller of Slots and Connections; every call that arrives gets exactly one Start or
 	// Refuse; no call starts during a drain.
 	Gate struct {
 		// Order is the order of the waiting calls.
@@ -234,10 +234,9 @@
 }
 
 // ResetLimit removes the limit, because another target takes the place of the present
-// one.
-func (g *Gate) ResetLimit(now clock.Millis) []Action {
+// one. No call starts before the next event.
+func (g *Gate) ResetLimit() {
 	g.rate = rate{}
-	return g.advance(now, g.actionBuffer())
 }
 
 // Load returns the number of calls that may start now, 0 during a drain, and the
--- a/core/admit/rate.go
+++ b/core/admit/rate.go
@@ -23,8 +23,8 @@
 type rate struct {
 	// perSecond is the number of starts per second; 0 without a limit.
 	perSecond float64
-	// tokens is the number of starts that are allowed at refilledAt, at most those of
-	// burstMillis, and below 0 never.
+	// tokens is the number of starts that are allowed at refilledAt: never negative, and
+	// at most those of burstMillis, or 1.
 	tokens     float64
 	refilledAt clock.Millis
 	// statedAt is the latest instant at which a request was sent whose answer stated
--- a/core/admit/rate_test.go
+++ b/core/admit/rate_test.go
@@ -105,7 +105,7 @@
 	is.Equal(g.Limit(), none)
 	g.SetLimit(170, 165, option.Some(0.0)) // some requests go on, since only an answer lifts the limit
 	is.Equal(g.Limit(), option.Some(minPerSecond))
-	g.ResetLimit(180)
+	g.ResetLimit()
 	is.Equal(g.Limit(), none)
 }
 
--- a/io/node/localtarget.go
+++ b/io/node/localtarget.go
@@ -38,8 +38,6 @@
 	// in service.
 	announcement admin.Announcement
 	state        member.TargetState
-	// announcedAt is the time of the last announcement.
-	announcedAt clock.Millis
 	// renewedAt is the time of the last announcement, renewal or drain.
 	renewedAt clock.Millis
 	// stopping is set once the node stops; announcements are refused from then on.
@@ -128,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	t.announcement, t.announcedAt, t.renewedAt = a, t.clock.Now(), t.clock.Now()
+	t.announcement, t.renewedAt = a, t.clock.Now()
 	t.setState(announcedState(a.Starting), "target announced itself")
 	return nil
 }
@@ -161,20 +159,18 @@
 	return nil
 }
 
-// leaves drains the target because it stated in an answer that it leaves. The answer to a
-// request that was sent before the last announcement has no effect: the target may have
-// been restarted since.
-func (t *localTarget) leaves(id ident.TargetID, sentAt clock.Millis) {
+// leaves drains the target because it stated in an answer that it leaves.
+func (t *localTarget) leaves(id ident.TargetID) {
 	t.reportMu.Lock()
 	defer t.reportMu.Unlock()
 	t.mu.Lock()
-	present := t.announcement.Target == id && sentAt >= t.announcedAt
+	present := t.announcement.Target == id
 	t.mu.Unlock()
 	if !present {
 		return
 	}
 	if t.tracker.Known() {
-		t.tracker.Apply(report.Status{Target: id, Draining: true}) // its later reports say that it is ready
+		t.tracker.Apply(report.Status{Target: id, Draining: true}) // its later reports may say that it is ready
 	}
 	_ = t.Drain(id) // fails only for a target that has just left
 }
--- a/io/proxy/gatenotice.go
+++ b/io/proxy/gatenotice.go
@@ -21,14 +21,14 @@
 func (g *Gateway) setTarget(t *target) {
 	t.noticed = func(sentAt clock.Millis, n report.Notice) { g.noticed(t, sentAt, n) }
 	g.target, g.leaving = t, false
-	g.apply(g.Clock.Now(), g.gate.ResetLimit(g.Clock.Now()))
+	g.gate.ResetLimit()
 }
 
 // noticed handles what a target stated in an answer to a request that was not sent
 // before sentAt. The notice of an earlier target has no effect.
 func (g *Gateway) noticed(t *target, sentAt clock.Millis, n report.Notice) {
 	if g.applyNotice(t, sentAt, n) && g.OnLeaving != nil {
-		g.OnLeaving(t.id, sentAt)
+		g.OnLeaving(t.id)
 	}
 }
 
@@ -44,8 +44,8 @@
 	if !n.LimitMalformed {
 		g.limitNoticed(now, sentAt, n.Limit)
 	}
-	if !n.Leaving || g.leaving {
-		return false
+	if !n.Leaving || g.leaving || sentAt < g.announcedAt {
+		return false // the target may have been restarted since an earlier request
 	}
 	g.leaving = true
 	g.metrics.leaving.Inc()
--- a/io/proxy/gatetarget.go
+++ b/io/proxy/gatetarget.go
@@ -22,7 +22,7 @@
 		g.setTarget(newTarget(a.Target, a.Address, a.Connections, g.Limits, &g.Dialect, &g.metrics.left))
 	}
 	g.target.client.SetMaxConns(int(a.Connections))
-	g.drained, g.leaving = nil, false
+	g.drained, g.announcedAt, g.leaving = nil, now, false
 	// The slots that the target reports as in use are set first, so that Reopen
 	// starts no call in them.
 	g.apply(now, g.gate.Announce(now, a.InFlight))
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -89,9 +89,8 @@
 		RunMillis      clock.Millis
 		OccupiedMillis clock.Millis
 		// OnLeaving, if set, is called when the target states in an answer that it
-		// leaves. The request of that answer was not sent before sentAt. It is called
-		// without a lock, once for a target until its next announcement.
-		OnLeaving func(id ident.TargetID, sentAt clock.Millis)
+		// leaves, once until its next announcement.
+		OnLeaving func(id ident.TargetID)
 		// Log receives the admission decisions; nil discards them.
 		Log logs.Sink
 		// Registry registers the metrics; nil leaves them unregistered.
@@ -105,8 +104,10 @@
 		mu     sync.Mutex
 		gate   admit.Gate
 		target *target
-		// leaving is set once the target has stated that it leaves.
-		leaving bool
+		// announcedAt is the instant of the last announcement, and leaving is set once
+		// the target has stated since then that it leaves.
+		announcedAt clock.Millis
+		leaving     bool
 		// calls holds the calls that wait or run.
 		calls map[ident.RequestID]*gateCall
 		// byCallerID holds the calls at the gate by the request id that the caller
