--- a/io/proxy/gatenotice.go
+++ b/io/proxy/gatenotice.go
@@ -57,6 +57,9 @@
 // caller holds mu.
 func (g *Gateway) limitNoticed(now, sentAt clock.Millis, limit option.Option[float64]) {
 	earlier := g.gate.Limit()
+	if !earlier.IsSome() && !limit.IsSome() {
+		return // nearly all answers
+	}
 	g.apply(now, g.gate.SetLimit(now, sentAt, limit))
 	g.rescheduleTick()
 	switch later := g.gate.Limit(); {
