--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -35,6 +35,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	writing := new(atomic.Int64)
+	repeated := []byte(block) // the target allocates nothing while it writes
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -50,7 +51,7 @@
 				}
 				_, err := c.Write([]byte(head))
 				for err == nil {
-					_, err = c.Write([]byte(block))
+					_, err = c.Write(repeated)
 					time.Sleep(pause)
 				}
 			}()
