Return the failure of a request whose caller leaves before the retry

Read of the diff: a caller that left between the failed answer of a target and the retry got the verdict NotRun, although the request had run. The failed answer is returned, as at every other end without a better one. io/proxy TestLeftAfterFailureIsNotRefused failed before (NotRun).

--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -92,7 +92,11 @@
 	in.Policy.RecordCall(now, c.route, c.parentRepeated)
 	in.mu.Unlock()
 	for {
-		if in.metrics.left.hasLeft(c.ctx, leftAttempt) {
+		left := in.metrics.left.hasLeft(c.ctx, leftAttempt)
+		if left && failure != nil {
+			return failure
+		}
+		if left {
 			return &wire.Response{Verdict: c.state.Verdict(), Reason: leftReason(c.ctx)}
 		}
 		choice, ok := in.pick(c)
--- a/io/proxy/left_test.go
+++ b/io/proxy/left_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -88,3 +89,29 @@
 	is.Equal(attempts, 1)
 	is.True(in.Policy.WindowBudget.Take(in.Clock.Now(), "shop"))
 }
+
+// TestLeftAfterFailureIsNotRefused guards against the verdict NotRun for a request that
+// ran and failed, when its caller leaves before the retry.
+func TestLeftAfterFailureIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newFakeTarget(t), newFakeTarget(t))
+	in := newIngress(t, f)
+	in.Policy = &retry.Policy{
+		WindowBudget: &retry.WindowBudget{Fixed: 9, WindowMillis: clock.Minute, Nodes: 1}, RetryFailures: true,
+		BaseBackoffMillis: 100, Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	f.intercept = func(context.Context, *Gateway, []byte) ([]byte, error) {
+		time.AfterFunc(20*time.Millisecond, leave) // during the backoff
+		return encode(wire.Answer{Response: &wire.Response{Verdict: result.Ran, Status: 500}}), nil
+	}
+	v := in.View()
+	r, _ := v.Route("", "/check/x")
+	resp := in.forward(&call{
+		ctx: ctx, view: v, route: r, timeout: clock.Second, deadline: in.Clock.Now() + clock.Second,
+		id: "failed", request: *requestTo("failed", true),
+	})
+	is.True(ctx.Err() != nil)
+	is.Equal(resp.Verdict, result.Ran)
+	is.Equal(resp.Status, 500)
+}
