Refuse late calls at once while the target's limit is used up

Cause: late calls wait to keep idle slots busy. While the limit is used up, slots are idle but none can be used, and every call in time goes first, so a late one waited to its deadline. It is refused at once now and tries another target. core/admit TestLateCallDoesNotWaitForLimit failed before.

--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -70,9 +70,14 @@
 }
 
 // pushLate queues a call that will miss its goal, or refuses it if lateShare is used up.
+// While calls wait for the target's limit of requests, a late one would keep no slot busy
+// and wait until its deadline, although other targets may have room.
 func (q *goalQueue) pushLate(c Call, actions []Action) []Action {
+	if q.gate.rate.available() == 0 {
+		return append(actions, refuse(c.ID, ReasonLimit))
+	}
 	if len(q.late) >= max(int(lateShare*float64(q.gate.limit())), 1) {
-		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonGoal)))
+		return append(actions, refuse(c.ID, ReasonGoal))
 	}
 	at, _ := slices.BinarySearchFunc(q.late, c.Deadline, func(w Call, d clock.Millis) int {
 		return cmp.Or(cmp.Compare(w.Deadline, d), -1)
--- a/core/admit/rate_test.go
+++ b/core/admit/rate_test.go
@@ -125,3 +125,14 @@
 		is.Equal(g.SetLimit(110, 102, option.None[float64]())[0].ID, ident.RequestID("third")) // lifted
 	}
 }
+
+// TestLateCallDoesNotWaitForLimit guards against a call that will miss its goal and waits
+// for the limit of requests until its deadline, while other targets have room.
+func TestLateCallDoesNotWaitForLimit(t *testing.T) {
+	is := is.New(t)
+	g := &Gate{Order: ByGoal, Slots: 6, Connections: 9, QueueLength: 20, RunMillis: 10}
+	g.SetLimit(0, 0, option.Some(5.0))
+	is.Equal(len(g.Arrive(0, Call{ID: "in time", Rank: 1, Goal: 300, Deadline: 1200})), 0)
+	is.Equal(g.Arrive(1, Call{ID: "late", Rank: 2, Goal: 200, Deadline: 1200}), []Action{refuse("late", ReasonLimit)})
+	is.Equal(g.Tick(200)[0], Action{Kind: Start, ID: "in time", Reason: ReasonQueued})
+}
