--- /dev/null
+++ b/core/feed/answer.go
@@ -0,0 +1,27 @@
+// Package feed decides how a node follows the newest release of a store that may lose
+// its latest writes and give out their revisions again.
+package feed
+
+import (
+	"hickoryrail/core/ident"
+	"hickoryrail/core/model"
+)
+
+type (
+	// Position identifies a state of a store.
+	Position struct {
+		// Era is 0 if the store does not report it.
+		Era ident.Era
+		// Revision counts the transactions of the whole store within its era.
+		Revision ident.Revision
+	}
+
+	// Answer is an answer of a store.
+	Answer struct {
+		// Release is the newest release in the answer; version 0 if there is none.
+		Release model.Release
+		// Position is the state up to which the store was read. In the answer to a
+		// failed call, only its era is set, if it is known.
+		Position Position
+	}
+)
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -37,6 +37,9 @@
 	Epoch uint64
 	// Revision counts the writes to a table row; 0 means that the row is absent.
 	Revision uint64
+	// Era numbers the restores of a store from an older copy: it rises with each, and
+	// revisions of different eras cannot be compared. 0 means that it is not known.
+	Era uint64
 
 	// Slots is a number of requests that a target runs at the same time.
 	Slots int
--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -172,7 +172,7 @@
 		err = errMismatch
 	}
 	if err == nil {
-		return n.accept(now, r)
+		return n.accept(now, from, r)
 	}
 	n.reportRefused(from, m.Delta.To, err)
 	if n.fetch.from != from {
@@ -194,7 +194,7 @@
 		n.fetchFailed(now, from, n.jitter(n.config.SilentBackoffMillis))
 		return n.startFetch(now)
 	}
-	out := n.accept(now, r)
+	out := n.accept(now, from, r)
 	return append(out, n.announce(now, from))
 }
 
--- a/core/spread/message.go
+++ b/core/spread/message.go
@@ -78,8 +78,10 @@
 		To      ident.NodeID
 		Address string
 		Message Message
-		// Release is set for Apply.
+		// Release is set for Apply, and From to the neighbour that sent it; From is empty
+		// for a release of the source.
 		Release model.Release
+		From    ident.NodeID
 		// Version and Digest are set for ReadRelease, and Version for NeedSource.
 		Version ident.Version
 		Digest  ident.Digest
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -24,6 +24,8 @@
 
 		// held is the newest complete and valid release; its version never decreases.
 		held model.Release
+		// heldFrom is the neighbour that sent held; empty if it came from the source.
+		heldFrom ident.NodeID
 		// heldBody is the encoded and compressed form of held; nil until it is first needed.
 		heldBody []byte
 		// recent holds earlier releases in ascending order of version, as bases of deltas.
@@ -207,12 +209,12 @@
 		n.reportRefused("", r.Version, err)
 		return nil
 	}
-	return n.accept(now, r)
+	return n.accept(now, "", r)
 }
 
 // accept stores a checked release if it is newer than the held one, applies it if the
-// floor allows, and announces it.
-func (n *Node) accept(now clock.Millis, r model.Release) []Action {
+// floor allows, and announces it. from is empty for a release of the source.
+func (n *Node) accept(now clock.Millis, from ident.NodeID, r model.Release) []Action {
 	if r.Version <= n.held.Version {
 		return nil
 	}
@@ -220,7 +222,7 @@
 		n.recent = append(n.recent, n.held)
 		n.recent = slices.Delete(n.recent, 0, max(0, len(n.recent)-n.config.MaxRecent))
 	}
-	n.held, n.heldBody = r, nil
+	n.held, n.heldFrom, n.heldBody = r, from, nil
 	n.fetch, n.sourceDeadline = fetch{}, 0
 	out := n.apply()
 	return append(out, n.Tick(now)...)
@@ -232,7 +234,7 @@
 		return nil
 	}
 	n.applied = n.held.Version
-	return []Action{{Kind: Apply, Release: n.held}}
+	return []Action{{Kind: Apply, Release: n.held, From: n.heldFrom}}
 }
 
 // reportRefused calls OnRefuse for a release that was not accepted.
--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -46,8 +46,14 @@
 		Target  ident.TargetID
 		Node    ident.NodeID
 		Version ident.Version
-		Verdict result.Verdict
-		Attempt int
+		// Source is where a release that was put in force came from.
+		Source string
+		// Era and Revision are the position of the last answer of the source of
+		// releases.
+		Era      ident.Era
+		Revision ident.Revision
+		Verdict  result.Verdict
+		Attempt  int
 		// Status is the HTTP status of an Answer.
 		Status int
 		// Count is the number of omitted lines, if Kind is Omitted.
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -29,6 +29,9 @@
 	reasonRefused = "release refused: not whole, valid and newer"
 )
 
+// sourceStore is the name of the store as the source of a release; a neighbour's is its id.
+const sourceStore = "store"
+
 type (
 	// fleet runs the state machines of membership and release distribution, and passes
 	// the resulting views to the ingress. It serializes the events of both state machines.
@@ -226,7 +229,7 @@
 		case spread.Send:
 			f.send(a.To, a.Address, wire.Control{Spread: &a.Message})
 		case spread.Apply:
-			f.applyRelease(a.Release)
+			f.applyRelease(a.Release, a.From)
 		case spread.ReadRelease:
 			f.readRelease(a.Version, a.Digest)
 		case spread.NeedSource:
@@ -245,12 +248,14 @@
 	f.transport.SendControl(to, address, body)
 }
 
-// applyRelease puts a release in force. The caller holds mu.
-func (f *fleet) applyRelease(r model.Release) {
+// applyRelease puts a release in force, which came from a neighbour or, if from is empty,
+// from the source. The caller holds mu.
+func (f *fleet) applyRelease(r model.Release, from ident.NodeID) {
 	f.inForce, f.index, f.viewStale = r, view.NewIndex(r), true
 	f.table.SetHeld(r.Version)
-	f.metrics.version.Set(float64(r.Version))
-	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Reason: reasonInForce})
+	source := nameSource(from)
+	f.metrics.releaseApplied(r.Version, source, f.clock.Now())
+	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Source: source, Reason: reasonInForce})
 	for _, s := range r.Configuration.Inventory.Services {
 		if s.Name == f.service && !s.TargetSlots {
 			f.gateway.Resize(s.Slots, s.Connections)
@@ -258,6 +263,14 @@
 	}
 }
 
+// nameSource returns the name under which logs and metrics show where a release came from.
+func nameSource(from ident.NodeID) string {
+	if from == "" {
+		return sourceStore
+	}
+	return string(from)
+}
+
 // refreshView puts a new view in force if the old one is stale. The caller holds mu.
 func (f *fleet) refreshView(clock.Millis) {
 	if !f.viewStale || f.inForce.Version == 0 {
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
@@ -31,6 +32,12 @@
 		// mu guards the fields below.
 		mu      sync.Mutex
 		release model.Release
+		// position is the state of the platform, and releaseRevision the revision at which
+		// release was written.
+		position        feed.Position
+		releaseRevision ident.Revision
+		// down makes all calls fail.
+		down bool
 		// newestFails makes reads of the newest release fail.
 		newestFails bool
 		seeds       map[ident.NodeID]member.Seed
@@ -41,8 +48,10 @@
 		waits, reads int
 		// controls holds the Control of each node, in order of their start.
 		controls []Control
-		// dialect is that of the nodes; set before they start.
+		// dialect is that of the nodes, and log receives their logs unless it is nil; set
+		// before they start.
 		dialect proxy.Dialect
+		log     io.Writer
 	}
 
 	// noopEndpoint is an endpoint without a server.
@@ -58,29 +67,37 @@
 
 func (noopEndpoint) Drain(context.Context) error { return nil }
 
-func (h *fakePlatform) Newest(context.Context) (model.Release, ident.Revision, error) {
+func (h *fakePlatform) Newest(context.Context) (feed.Answer, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.newestFails {
-		return model.Release{}, 0, plat.ErrNotFound
+	if h.newestFails || h.down {
+		return feed.Answer{}, plat.ErrNotFound
 	}
 	h.reads++
-	return h.release, ident.Revision(h.release.Version), nil
+	return feed.Answer{Release: h.release, Position: h.position}, nil
 }
 
-func (h *fakePlatform) Next(ctx context.Context, after ident.Revision) (model.Release, ident.Revision, error) {
+func (h *fakePlatform) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
 	for {
 		h.mu.Lock()
-		r, changed := h.release, h.changed
-		if ident.Revision(r.Version) > after {
+		a, written, down, changed := feed.Answer{Release: h.release, Position: h.position}, h.releaseRevision, h.down, h.changed
+		if written > after && !down {
 			h.waits++
-			h.mu.Unlock()
-			return r, ident.Revision(r.Version), nil
 		}
 		h.mu.Unlock()
+		switch {
+		case down:
+			return feed.Answer{}, plat.ErrNotFound
+		case after > a.Position.Revision:
+			return feed.Answer{Position: feed.Position{Era: a.Position.Era}}, plat.ErrRevisionUnknown
+		case written > after:
+			return a, nil
+		}
 		select {
 		case <-ctx.Done():
-			return model.Release{}, after, ctx.Err()
+			return feed.Answer{}, ctx.Err()
+		case <-time.After(hold.Duration()):
+			return feed.Answer{Position: a.Position}, nil
 		case <-changed:
 		}
 	}
@@ -99,6 +116,13 @@
 		t.Fatal(err)
 	}
 	h.release = r
+	h.position.Revision++
+	h.releaseRevision = h.position.Revision
+	h.wake()
+}
+
+// wake makes the waits for changes look at the state again. The caller holds mu.
+func (h *fakePlatform) wake() {
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -133,7 +157,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fakePlatform{release: r, seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
+	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
 }
 
 // start starts a hosted node, which the test has to stop.
@@ -161,7 +185,7 @@
 			h.controls = append(h.controls, c)
 			return noopEndpoint{}
 		},
-	}, io.Discard)
+	}, h.log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
@@ -27,6 +28,8 @@
 	coalesceMillis = 700 * clock.Millis(1)
 	// readTimeoutMillis bounds a read of the source and a call to the directory.
 	readTimeoutMillis = 2 * clock.Second
+	// longPollMillis is how long the source holds a call that waits for changes.
+	longPollMillis = 20 * clock.Second
 	// aloneListMillis is the interval at which a node that knows no other live node reads
 	// the directory again.
 	aloneListMillis = 1 * clock.Second
@@ -50,6 +53,8 @@
 const (
 	reasonSourceLost  = "source does not answer"
 	reasonSourceFound = "source answers again"
+	// reasonSourceRestored means that the source has another era than before.
+	reasonSourceRestored = "source was restored from an older copy"
 )
 
 // watcher reads releases from the source and finds other nodes through the directory.
@@ -78,6 +83,8 @@
 	changedAt clock.Millis
 	// inBurst reports whether changes follow each other within burstMillis.
 	inBurst bool
+	// position is that of the last answer of the source.
+	position feed.Position
 	// failing reports whether the last call to the source failed.
 	failing bool
 	// backoff is the delay after the last failed call; 0 after a successful one.
@@ -144,47 +151,47 @@
 	case <-w.readRequest:
 	default:
 	}
-	r, revision, err := w.source.Newest(readCtx)
+	a, err := w.source.Newest(readCtx)
 	if err != nil {
 		w.inBurst = false
 		w.sourceFailed(ctx)
 		return 0, false
 	}
-	w.sourceAnswered()
-	changed := r.Version > w.newest
-	w.handleRelease(r)
-	w.fleet.setFloor(r.Version)
+	w.sourceAnswered(a.Position)
+	changed := a.Release.Version > w.newest
+	w.handleRelease(a.Release)
+	w.fleet.setFloor(a.Release.Version)
 	if changed {
 		sleep(ctx, coalesceMillis.Duration())
 	} else {
 		w.inBurst = false
 	}
-	return revision, true
+	return a.Position.Revision, true
 }
 
 // readNext waits for a newer release. It returns false if ctx has ended, or if the newest
 // release has to be read again because the source no longer has the changes after that
 // revision.
 func (w *watcher) readNext(ctx context.Context, after ident.Revision) (ident.Revision, bool) {
-	r, revision, err := w.source.Next(ctx, after)
+	a, err := w.source.Next(ctx, after, longPollMillis)
 	switch {
 	case ctx.Err() != nil:
 		return after, false
-	case errors.Is(err, plat.ErrRevisionTooOld):
+	case errors.Is(err, plat.ErrRevisionUnknown):
 		return after, false
 	case err != nil:
 		w.sourceFailed(ctx)
 		return after, true
 	}
-	w.sourceAnswered()
-	w.handleRelease(r)
-	if r.Version == 0 {
-		return max(revision, after), true
+	w.sourceAnswered(a.Position)
+	w.handleRelease(a.Release)
+	if a.Release.Version == 0 {
+		return max(a.Position.Revision, after), true
 	}
 	now := w.clock.Now()
 	w.inBurst, w.changedAt = now-w.changedAt < burstMillis, now
 	sleep(ctx, coalesceMillis.Duration())
-	return max(revision, after), true
+	return max(a.Position.Revision, after), true
 }
 
 // handleRelease passes a release of the source to the fleet.
@@ -210,16 +217,25 @@
 }
 
 // sourceAnswered records a successful call and resets the backoff.
-func (w *watcher) sourceAnswered() {
+func (w *watcher) sourceAnswered(p feed.Position) {
+	earlier := w.position
+	w.position = p
+	w.metrics.sourceAnswered(p, w.clock.Now())
+	if earlier.Era != 0 && p.Era != earlier.Era {
+		w.logDecision(reasonSourceRestored)
+	}
 	if w.failing {
 		w.logDecision(reasonSourceFound)
 	}
 	w.failing, w.backoff = false, 0
 }
 
-// logDecision records a decision on the source of releases.
+// logDecision records a decision on the source of releases, with the position of its last
+// answer.
 func (w *watcher) logDecision(reason string) {
-	w.log.Record(logs.Decision{At: w.clock.Now(), Kind: logs.Release, Reason: reason})
+	w.log.Record(logs.Decision{
+		At: w.clock.Now(), Kind: logs.Release, Reason: reason, Era: w.position.Era, Revision: w.position.Revision,
+	})
 }
 
 // floorFromPeers sets the floor to the highest version that peers hold, while the
--- a/io/plat/source.go
+++ b/io/plat/source.go
@@ -3,21 +3,22 @@
 import (
 	"context"
 
+	"hickoryrail/core/clock"
+	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
-	"hickoryrail/core/model"
 )
 
 type (
-	// Source provides the operators' newest release. Errors are *result.Error.
+	// Source provides the operators' newest release. Errors are *result.Error. An answer
+	// that comes with an error holds the era of the source, if it is known.
 	Source interface {
-		// Newest returns the newest release and the revision up to which the source
-		// was read. Version 0 means that there is no release yet.
-		Newest(ctx context.Context) (model.Release, ident.Revision, error)
-		// Next waits for a release that was written after a revision. It returns
-		// version 0 if none was written for some time, and ErrRevisionTooOld if the
-		// history of the source no longer reaches back to the revision.
-		Next(ctx context.Context, after ident.Revision) (model.Release, ident.Revision, error)
+		// Newest returns the newest release. Version 0 means that there is none yet.
+		Newest(ctx context.Context) (feed.Answer, error)
+		// Next waits up to hold for a release that was written after a revision. It
+		// returns version 0 if none was, and ErrRevisionUnknown if the source does not
+		// have the changes after the revision.
+		Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error)
 	}
 
 	// Directory is the list of nodes by which they discover each other. Errors are
--- a/io/plat/store.go
+++ b/io/plat/store.go
@@ -41,8 +41,9 @@
 var (
 	// ErrConflict reports a write whose condition failed; it had no effect.
 	ErrConflict = errors.New("row has another revision")
-	// ErrRevisionTooOld reports a revision that is older than the platform's history.
-	ErrRevisionTooOld = errors.New("history does not reach back to the revision")
+	// ErrRevisionUnknown reports a revision that is older than the platform's history, or
+	// that the platform lost when it was restored from an older copy.
+	ErrRevisionUnknown = errors.New("history does not have the changes after the revision")
 	// ErrNotFound reports an object that does not exist.
 	ErrNotFound = errors.New("object does not exist")
 )
