Reproduce a configuration that is in force late after a restore of the store

The test plays the same at two nodes: the store comes back from an older copy and gives out a revision again, which nodes have read before.

--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -127,6 +127,14 @@
 	h.changed = make(chan struct{})
 }
 
+// change changes the state of the platform.
+func (h *fakePlatform) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	h.wake()
+}
+
 func (h *fakePlatform) Register(_ context.Context, s member.Seed) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/io/node/restore_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"hickoryrail/core/ident"
+)
+
+// applyTimeout is the time in which a change of the operators must be in force.
+const applyTimeout = 2 * time.Second
+
+// awaitVersion waits until all nodes have a version in force, and fails the test after
+// applyTimeout.
+func awaitVersion(t *testing.T, v ident.Version, nodes ...*Node) {
+	t.Helper()
+	deadline := time.Now().Add(applyTimeout)
+	for _, n := range nodes {
+		for n.Version() != v {
+			if time.Now().After(deadline) {
+				t.Fatalf("node %s has version %d in force %v after the change to %d", n.settings.Node, n.Version(), applyTimeout, v)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// restore lets the platform come back from an older copy. The next revision that it
+// gives out is that of the copy plus 1.
+func (h *fakePlatform) restore(t *testing.T, copied ident.Revision) {
+	t.Helper()
+	h.change(func() {
+		h.down = false
+		h.position.Era++
+		h.position.Revision = copied
+	})
+}
+
+// TestChangeInReusedRevisionIsTaken guards against a change that is in force late because
+// the restored store gave out its revision for the second time, and nodes waited for
+// changes after the first time.
+func TestChangeInReusedRevisionIsTaken(t *testing.T) {
+	h := newFakePlatform(t)
+	h.position.Era = 1
+	a, _ := h.start(t, "a")
+	b, _ := h.start(t, "b")
+	defer stopNodes(t, a, b)
+	await(t, "the first release", func() bool { return a.Ready() && b.Ready() })
+	for range 3 {
+		h.publish(t)
+	}
+	awaitVersion(t, 4, a, b)
+	time.Sleep((coalesceMillis + 2*watchCheckMillis).Duration())
+	h.change(func() { h.down = true })
+	time.Sleep(500 * time.Millisecond)
+	h.restore(t, 2)
+	h.publish(t) // revision 3, for the second time
+	h.change(func() { h.position.Revision += 5 })
+	awaitVersion(t, 5, a, b)
+}
