Wait for changes only after a revision of the store's present era

Cause: a node that lost its wait for changes sent it again with the revision that it had read last. That revision belongs to the state before the restore. Once the restored store had given it out again, the store held the wait, and the release that was written in the revisions up to it was asked for by nobody until the next change.

Change: core/feed.Follower decides which calls to make, and keeps a position of era and revision. After a failed call the first call asks for an answer at once, which shows the era; in another era, or from a store that shows none, the newest release is read before the node waits. The watcher only makes the calls. Its random numbers are no longer shared between two goroutines.

--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -25,6 +25,9 @@
 	"hickoryrail/io/proxy"
 )
 
+// pauseAfterRelease is longer than a node takes to wait for changes again after one.
+const pauseAfterRelease = 1500 * time.Millisecond
+
 type (
 	// fakePlatform is a fake of the platform for hosted nodes. It implements plat.Source
 	// with one release and plat.Directory, and its endpoints do nothing.
@@ -336,13 +339,13 @@
 	// the first change.
 	h.publish(t)
 	await(t, "the second release", allHold(nodes, 2))
-	time.Sleep((coalesceMillis + 2*watchCheckMillis).Duration())
+	time.Sleep(pauseAfterRelease)
 	h.mu.Lock()
 	h.waits, h.reads = 0, 0
 	h.mu.Unlock()
 	h.publish(t)
 	await(t, "the third release", allHold(nodes, 3))
-	time.Sleep((coalesceMillis + 2*watchCheckMillis).Duration())
+	time.Sleep(pauseAfterRelease)
 	h.mu.Lock()
 	is.True(h.waits >= 1 && h.waits <= watchersPerDomain)
 	h.mu.Unlock()
--- a/io/node/restore_test.go
+++ b/io/node/restore_test.go
@@ -50,7 +50,7 @@
 		h.publish(t)
 	}
 	awaitVersion(t, 4, a, b)
-	time.Sleep((coalesceMillis + 2*watchCheckMillis).Duration())
+	time.Sleep(pauseAfterRelease)
 	h.change(func() { h.down = true })
 	time.Sleep(500 * time.Millisecond)
 	h.restore(t, 2)
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -10,7 +10,6 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
-	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
 	"hickoryrail/io/logs"
@@ -18,18 +17,12 @@
 )
 
 const (
-	// minSourceBackoff and maxSourceBackoff bound the delay after a failed call to the
-	// source or the directory.
-	minSourceBackoff = 100 * clock.Millis(1)
-	maxSourceBackoff = 1 * clock.Second
-	// coalesceMillis is the delay after a release before the next read, so that releases
-	// in quick succession are read with one call. It is well below the time in which a
-	// release must be in force.
-	coalesceMillis = 700 * clock.Millis(1)
+	// minDirectoryBackoff and maxDirectoryBackoff bound the delay after a failed call to
+	// the directory.
+	minDirectoryBackoff = 100 * clock.Millis(1)
+	maxDirectoryBackoff = 1 * clock.Second
 	// readTimeoutMillis bounds a read of the source and a call to the directory.
 	readTimeoutMillis = 2 * clock.Second
-	// longPollMillis is how long the source holds a call that waits for changes.
-	longPollMillis = 20 * clock.Second
 	// aloneListMillis is the interval at which a node that knows no other live node reads
 	// the directory again.
 	aloneListMillis = 1 * clock.Second
@@ -43,10 +36,6 @@
 	// maxReadIntervalMillis bounds the time between reads of the source by a node that
 	// does not wait for changes.
 	maxReadIntervalMillis = 60 * clock.Second
-	// burstMillis is the time between two changes below which they count as a burst. In
-	// a burst only the newest release is read, because waiting for changes returns every
-	// intermediate release.
-	burstMillis = 2 * clock.Second
 )
 
 // Reasons of logged decisions of the watcher.
@@ -77,39 +66,33 @@
 	// readRequest holds a request to read the source at once; its capacity is 1.
 	readRequest chan struct{}
 
-	// newest is the highest version that was read.
-	newest ident.Version
-	// changedAt is the time of the last release that a wait for changes returned.
-	changedAt clock.Millis
-	// inBurst reports whether changes follow each other within burstMillis.
-	inBurst bool
-	// position is that of the last answer of the source.
-	position feed.Position
-	// failing reports whether the last call to the source failed.
-	failing bool
-	// backoff is the delay after the last failed call; 0 after a successful one.
-	backoff clock.Millis
+	// follower decides which calls to the source to make.
+	follower feed.Follower
 }
 
-// run registers the node in the directory and reads the source until ctx ends.
+// run registers the node in the directory and follows the source until ctx ends.
 func (w *watcher) run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { w.join(ctx) })
-	w.changedAt = -clock.Forever
+	joinRandom := splitRandom(w.random)
+	wg.Go(func() { w.join(ctx, joinRandom) })
+	w.follower.Rand = w.random
+	w.follower.RequireRead()
 	started := w.clock.Now()
 	for ctx.Err() == nil {
-		after, ok := w.readNewest(ctx)
-		for ok && !w.inBurst && w.shouldWatch() {
-			after, ok = w.readNext(ctx, after)
-		}
-		if w.inBurst {
+		step := w.follower.Step(w.shouldWatch())
+		switch {
+		case step.Kind == feed.Wait:
+			w.wait(ctx, step)
+			continue
+		case step.Kind == feed.Read && w.read(ctx):
 			continue
 		}
 		if w.clock.Now()-started >= w.startSourceMillis {
 			w.floorFromPeers()
 		}
 		w.awaitRead(ctx)
+		w.follower.RequireRead()
 	}
 	return ctx.Err()
 }
@@ -142,9 +125,8 @@
 	}
 }
 
-// readNewest reads the newest release and sets the floor. After a change it waits for
-// coalesceMillis; without one, a burst has ended.
-func (w *watcher) readNewest(ctx context.Context) (ident.Revision, bool) {
+// read reads the newest release, sets the floor and reports success.
+func (w *watcher) read(ctx context.Context) bool {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeoutMillis.Duration())
 	defer cancel()
 	select {
@@ -153,45 +135,32 @@
 	}
 	a, err := w.source.Newest(readCtx)
 	if err != nil {
-		w.inBurst = false
-		w.sourceFailed(ctx)
-		return 0, false
+		w.failed(ctx, a)
+		return false
 	}
-	w.sourceAnswered(a.Position)
-	changed := a.Release.Version > w.newest
+	out := w.follower.ReadDone(a)
+	w.answered(out)
 	w.handleRelease(a.Release)
 	w.fleet.setFloor(a.Release.Version)
-	if changed {
-		sleep(ctx, coalesceMillis.Duration())
-	} else {
-		w.inBurst = false
-	}
-	return a.Position.Revision, true
+	sleep(ctx, out.DelayMillis.Duration())
+	return true
 }
 
-// readNext waits for a newer release. It returns false if ctx has ended, or if the newest
-// release has to be read again because the source no longer has the changes after that
-// revision.
-func (w *watcher) readNext(ctx context.Context, after ident.Revision) (ident.Revision, bool) {
-	a, err := w.source.Next(ctx, after, longPollMillis)
+// wait waits for a newer release.
+func (w *watcher) wait(ctx context.Context, step feed.Step) {
+	a, err := w.source.Next(ctx, step.After, step.HoldMillis)
 	switch {
 	case ctx.Err() != nil:
-		return after, false
 	case errors.Is(err, plat.ErrRevisionUnknown):
-		return after, false
+		w.answered(w.follower.RevisionUnknown(a.Position.Era))
 	case err != nil:
-		w.sourceFailed(ctx)
-		return after, true
-	}
-	w.sourceAnswered(a.Position)
-	w.handleRelease(a.Release)
-	if a.Release.Version == 0 {
-		return max(a.Position.Revision, after), true
+		w.failed(ctx, a)
+	default:
+		out := w.follower.WaitDone(w.clock.Now(), a)
+		w.answered(out)
+		w.handleRelease(a.Release)
+		sleep(ctx, out.DelayMillis.Duration())
 	}
-	now := w.clock.Now()
-	w.inBurst, w.changedAt = now-w.changedAt < burstMillis, now
-	sleep(ctx, coalesceMillis.Duration())
-	return max(a.Position.Revision, after), true
 }
 
 // handleRelease passes a release of the source to the fleet.
@@ -199,43 +168,36 @@
 	if r.Version == 0 {
 		return
 	}
-	w.newest = max(w.newest, r.Version)
 	w.fleet.sourceHead(r.Version, r.Digest)
 	w.fleet.sourceRelease(r)
 }
 
-// sourceFailed counts a failed call and waits for an exponential backoff with jitter, so
-// that nodes do not retry at the same time.
-func (w *watcher) sourceFailed(ctx context.Context) {
+// failed handles a failed call to the source.
+func (w *watcher) failed(ctx context.Context, a feed.Answer) {
 	w.metrics.sourceErrors.Inc()
-	if !w.failing {
+	out := w.follower.Failed(a.Position.Era)
+	if out.Lost {
 		w.logDecision(reasonSourceLost)
 	}
-	w.failing = true
-	w.backoff = min(max(2*w.backoff, minSourceBackoff), maxSourceBackoff)
-	sleep(ctx, (w.backoff * clock.Millis(0.5+w.random.Float64()/2)).Duration())
+	sleep(ctx, out.DelayMillis.Duration())
 }
 
-// sourceAnswered records a successful call and resets the backoff.
-func (w *watcher) sourceAnswered(p feed.Position) {
-	earlier := w.position
-	w.position = p
-	w.metrics.sourceAnswered(p, w.clock.Now())
-	if earlier.Era != 0 && p.Era != earlier.Era {
-		w.logDecision(reasonSourceRestored)
-	}
-	if w.failing {
+// answered records what an answer of the source changed.
+func (w *watcher) answered(out feed.Outcome) {
+	w.metrics.sourceAnswered(w.follower.Position(), w.clock.Now())
+	if out.Regained {
 		w.logDecision(reasonSourceFound)
 	}
-	w.failing, w.backoff = false, 0
+	if out.Restored {
+		w.logDecision(reasonSourceRestored)
+	}
 }
 
 // logDecision records a decision on the source of releases, with the position of its last
 // answer.
 func (w *watcher) logDecision(reason string) {
-	w.log.Record(logs.Decision{
-		At: w.clock.Now(), Kind: logs.Release, Reason: reason, Era: w.position.Era, Revision: w.position.Revision,
-	})
+	p := w.follower.Position()
+	w.log.Record(logs.Decision{At: w.clock.Now(), Kind: logs.Release, Reason: reason, Era: p.Era, Revision: p.Revision})
 }
 
 // floorFromPeers sets the floor to the highest version that peers hold, while the
@@ -250,13 +212,13 @@
 // nodes, the one that registered last finds the other, so one read of the directory is
 // enough for nodes that start at the same time. While no other live node is known, the
 // directory is read again every aloneListMillis.
-func (w *watcher) join(ctx context.Context) {
-	backoff := minSourceBackoff
+func (w *watcher) join(ctx context.Context, random *rand.Rand) {
+	backoff := minDirectoryBackoff
 	for !w.register(ctx) {
-		if !sleep(ctx, (backoff * clock.Millis(0.5+w.random.Float64()/2)).Duration()) {
+		if !sleep(ctx, (backoff * clock.Millis(0.5+random.Float64()/2)).Duration()) {
 			return
 		}
-		backoff = min(2*backoff, maxSourceBackoff)
+		backoff = min(2*backoff, maxDirectoryBackoff)
 	}
 	w.listNodes(ctx)
 	for sleep(ctx, aloneListMillis.Duration()) {
