Notice a restore of the store that no call of a node met

Cause: the era of the store is seen in answers only, and a wait is answered after up to 20 s if there is no change in what it asks for.

Change: the first live node of each failure domain is the leader of its domain in core/feed and gets an answer at least every 1.5 s, its pause after a release included; in a new era it reads the newest release and the overlay spreads it. The other watchers wait as long as before.

Test: TestUnnoticedRestore failed before ("not reached: the change").

--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -30,12 +30,29 @@
 	burstMillis = 2 * clock.Second
 	// holdMillis is how long the store holds a call that waits for changes.
 	holdMillis = 20 * clock.Second
+	// leaderIntervalMillis bounds the time between two answers to a leader. A restore of
+	// the store that no call noticed shows in the next answer, so this is below the time in
+	// which a release must be in force.
+	leaderIntervalMillis = 1500 * clock.Millis(1)
+)
+
+const (
+	// Reader reads the newest release now and then; its neighbours send it the others.
+	Reader Role = iota
+	// Watcher waits for changes.
+	Watcher
+	// Leader waits for changes and notices within a short time if the store is restored,
+	// on behalf of its failure domain.
+	Leader
 )
 
 type (
 	// Kind is the kind of a step.
 	Kind uint8
 
+	// Role is a node's part in following the store.
+	Role uint8
+
 	// Step is the next call to the store.
 	Step struct {
 		Kind Kind
@@ -78,6 +95,8 @@
 		readDue bool
 		// newest is the highest version that was read; it never decreases.
 		newest ident.Version
+		// delayMillis is the delay after the last answer.
+		delayMillis clock.Millis
 		// changedAt is the time of the last release that a wait returned; 0 if none did.
 		changedAt clock.Millis
 		// inBurst reports whether changes follow each other within burstMillis.
@@ -98,18 +117,19 @@
 	f.readDue = true
 }
 
-// Step returns the next call. waits reports whether the node has to wait for changes
-// itself.
-func (f *Follower) Step(waits bool) Step {
+// Step returns the next call of a node with a role.
+func (f *Follower) Step(r Role) Step {
 	switch {
 	case f.readDue || f.inBurst:
 		return Step{Kind: Read}
-	case !waits:
+	case r == Reader:
 		return Step{Kind: Idle}
 	case !f.hasPosition || f.unconfirmed && f.position.Era == 0:
 		return Step{Kind: Read}
 	case f.unconfirmed:
 		return Step{Kind: Wait, After: f.position.Revision}
+	case r == Leader:
+		return Step{Kind: Wait, After: f.position.Revision, HoldMillis: leaderIntervalMillis - f.delayMillis}
 	}
 	return Step{Kind: Wait, After: f.position.Revision, HoldMillis: holdMillis}
 }
@@ -125,6 +145,7 @@
 		f.inBurst = false
 	}
 	f.newest = max(f.newest, a.Release.Version)
+	f.delayMillis = out.DelayMillis
 	return out
 }
 
@@ -143,6 +164,7 @@
 		f.inBurst, f.changedAt = f.changedAt > 0 && now-f.changedAt < burstMillis, now
 		out.DelayMillis = coalesceMillis
 	}
+	f.delayMillis = out.DelayMillis
 	return out
 }
 
--- a/core/feed/follower_test.go
+++ b/core/feed/follower_test.go
@@ -42,27 +42,43 @@
 func TestFailedCallIsConfirmed(t *testing.T) {
 	is := is.New(t)
 	f := newFollower()
-	is.Equal(f.Step(true), Step{Kind: Read})
+	is.Equal(f.Step(Watcher), Step{Kind: Read})
 	f.ReadDone(answer(1, 9, 5))
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
 	is.True(f.Failed(0).Lost)
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 9}) // the answer shows the era
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 9}) // the answer shows the era
 	is.True(!f.Failed(0).Lost)
 	out := f.WaitDone(10, answer(1, 9, 0))
 	is.True(out.Regained && !out.Restored)
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
 	f.Failed(0)
 	out = f.WaitDone(20, answer(2, 9, 0))
 	is.True(out.Regained && out.Restored)
-	is.Equal(f.Step(true), Step{Kind: Read})
+	is.Equal(f.Step(Watcher), Step{Kind: Read})
 	f.ReadDone(answer(2, 9, 6))
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
 	f.Failed(3) // a refusal that shows the era
-	is.Equal(f.Step(true), Step{Kind: Read})
-	is.Equal(f.Step(false), Step{Kind: Idle})
+	is.Equal(f.Step(Watcher), Step{Kind: Read})
+	is.Equal(f.Step(Reader), Step{Kind: Idle})
 	f.ReadDone(answer(3, 2, 6))
 	f.RevisionUnknown(3)
-	is.Equal(f.Step(true), Step{Kind: Read})
+	is.Equal(f.Step(Watcher), Step{Kind: Read})
+}
+
+// TestLeaderNoticesRestore guards against a release that is read late because no call
+// failed while the store was restored, so that nothing but the next answer shows it.
+func TestLeaderNoticesRestore(t *testing.T) {
+	is := is.New(t)
+	f := newFollower()
+	f.ReadDone(answer(1, 9, 5))
+	is.Equal(f.Step(Leader), Step{Kind: Wait, After: 9, HoldMillis: leaderIntervalMillis - coalesceMillis})
+	f.WaitDone(9, answer(1, 9, 0))
+	is.Equal(f.Step(Leader), Step{Kind: Wait, After: 9, HoldMillis: leaderIntervalMillis})
+	is.True(f.WaitDone(10, answer(2, 12, 0)).Restored)
+	is.Equal(f.Step(Leader), Step{Kind: Read})
+	f.ReadDone(answer(2, 12, 6))
+	f.Failed(0)
+	is.Equal(f.Step(Leader), Step{Kind: Wait, After: 12}) // no hold before it is confirmed
 }
 
 // TestStoreWithoutEra guards against a wait after a revision that may have been given out
@@ -71,9 +87,9 @@
 	is := is.New(t)
 	f := newFollower()
 	f.ReadDone(answer(0, 9, 5))
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 9, HoldMillis: holdMillis})
 	f.Failed(0)
-	is.Equal(f.Step(true), Step{Kind: Read})
+	is.Equal(f.Step(Watcher), Step{Kind: Read})
 }
 
 // TestOlderCopyIsRead guards against a node that waits after the revision of the lost
@@ -85,9 +101,9 @@
 	f.Failed(0)
 	f.WaitDone(10, answer(2, 4, 0))
 	is.True(f.ReadDone(answer(2, 4, 3)).DelayMillis == 0) // an older release is no change
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 4, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 4, HoldMillis: holdMillis})
 	f.WaitDone(20, answer(2, 6, 5))
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 6, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 6, HoldMillis: holdMillis})
 }
 
 // TestBurst guards against waits during a burst of changes, whose answers hold every
@@ -97,13 +113,13 @@
 	f := newFollower()
 	f.ReadDone(answer(1, 1, 1))
 	is.Equal(f.WaitDone(10_000, answer(1, 2, 2)).DelayMillis, coalesceMillis)
-	is.Equal(f.Step(true).Kind, Wait)
+	is.Equal(f.Step(Watcher).Kind, Wait)
 	f.WaitDone(10_000+burstMillis-1, answer(1, 3, 3))
-	is.Equal(f.Step(true).Kind, Read)
+	is.Equal(f.Step(Watcher).Kind, Read)
 	is.Equal(f.ReadDone(answer(1, 4, 4)).DelayMillis, coalesceMillis)
-	is.Equal(f.Step(true).Kind, Read)
+	is.Equal(f.Step(Watcher).Kind, Read)
 	f.ReadDone(answer(1, 4, 4))
-	is.Equal(f.Step(true), Step{Kind: Wait, After: 4, HoldMillis: holdMillis})
+	is.Equal(f.Step(Watcher), Step{Kind: Wait, After: 4, HoldMillis: holdMillis})
 }
 
 // fakeStore is a store with one release that can be restored from an older copy.
@@ -138,7 +154,7 @@
 // play makes the follower's next call at a time. It returns true if the store holds the
 // call, which then has no answer yet.
 func (s *fakeStore) play(f *Follower, now clock.Millis) bool {
-	step := f.Step(true)
+	step := f.Step(Watcher)
 	switch {
 	case !s.up:
 		f.Failed(0)
--- a/io/node/restore_test.go
+++ b/io/node/restore_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"hickoryrail/core/ident"
 )
 
@@ -58,3 +60,29 @@
 	h.change(func() { h.position.Revision += 5 })
 	awaitVersion(t, 5, a, b)
 }
+
+// TestUnnoticedRestore guards against a change that is in force late because no call of a
+// node failed while the store was restored.
+func TestUnnoticedRestore(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	h.position.Era = 1
+	a, _ := h.start(t, "a")
+	b, _ := h.start(t, "b")
+	defer stopNodes(t, a, b)
+	await(t, "the first release", func() bool { return a.Ready() && b.Ready() })
+	h.publish(t)
+	h.publish(t)
+	awaitVersion(t, 3, a, b)
+	// Both nodes pause after a release, before they wait for the next one.
+	h.mu.Lock()
+	h.position.Era++
+	h.position.Revision = 1
+	h.mu.Unlock()
+	h.publish(t) // revision 2, for the second time
+	h.change(func() { h.position.Revision += 5 })
+	began := time.Now()
+	await(t, "the change", func() bool { return a.Version() == 4 && b.Version() == 4 })
+	// Time bounds hold from 3 s after the store's return.
+	is.True(time.Since(began) < 3*time.Second)
+}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -80,7 +80,7 @@
 	w.follower.RequireRead()
 	started := w.clock.Now()
 	for ctx.Err() == nil {
-		step := w.follower.Step(w.shouldWatch())
+		step := w.follower.Step(w.role())
 		switch {
 		case step.Kind == feed.Wait:
 			w.wait(ctx, step)
@@ -97,9 +97,15 @@
 	return ctx.Err()
 }
 
-// shouldWatch reports whether the node has to wait for changes of the source.
-func (w *watcher) shouldWatch() bool {
-	return !w.fleet.hasRelease() || w.fleet.leadsDomain(watchersPerDomain)
+// role returns the node's part in following the source.
+func (w *watcher) role() feed.Role {
+	switch {
+	case w.fleet.leadsDomain(1):
+		return feed.Leader
+	case w.fleet.leadsDomain(watchersPerDomain) || !w.fleet.hasRelease():
+		return feed.Watcher
+	}
+	return feed.Reader
 }
 
 // awaitRead waits until the node has to read the source: because it now has to wait for
@@ -107,7 +113,7 @@
 // maxReadIntervalMillis, reduced at random by up to half, have passed.
 func (w *watcher) awaitRead(ctx context.Context) {
 	until := w.clock.Now() + maxReadIntervalMillis*clock.Millis(0.5+w.random.Float64()/2)
-	for !w.shouldWatch() && w.clock.Now() < until && ctx.Err() == nil {
+	for w.role() == feed.Reader && w.clock.Now() < until && ctx.Err() == nil {
 		select {
 		case <-w.readRequest:
 			return
