Write the entries of nodes again after a restore of the store

A node that starts later finds only nodes whose entries are there.

Cause: a node wrote its entry once, at its start, and took it as kept.

Change: core/feed.Entry remembers the era in which the entry was written; a node that learns of a later era writes it again. Nodes that do not wait for changes learn of it only after 30 to 60 s, so the first live node of each failure domain also reads the directory and writes the entries of its domain that are missing.

--- /dev/null
+++ b/core/feed/entry.go
@@ -0,0 +1,23 @@
+package feed
+
+import "hickoryrail/core/ident"
+
+// Entry decides when a node has to write its entry in the directory of the store. A store
+// that is restored from an older copy may have lost it. The zero value is an entry that
+// was never written.
+type Entry struct {
+	written bool
+	// era is that in which the entry was last written; 0 if the store does not report it.
+	era ident.Era
+}
+
+// Due reports whether the entry has to be written in an era of the store; 0 means that the
+// era is not known.
+func (e *Entry) Due(era ident.Era) bool {
+	return !e.written || e.era != 0 && era > e.era
+}
+
+// Written records that the entry was written in an era.
+func (e *Entry) Written(era ident.Era) {
+	e.written, e.era = true, era
+}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -301,6 +301,14 @@
 	f.table.AddSeeds(f.clock.Now(), seeds)
 }
 
+// unlisted returns the live nodes of the own failure domain that are not among the entries
+// of a directory.
+func (f *fleet) unlisted(listed []member.Seed) []member.Seed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return member.Unlisted(f.table.Records(), listed, f.table.Self().FailureDomain)
+}
+
 // hasRelease reports whether a release at or above the floor is in force.
 func (f *fleet) hasRelease() bool {
 	f.mu.Lock()
--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -138,16 +138,22 @@
 	h.wake()
 }
 
-func (h *fakePlatform) Register(_ context.Context, s member.Seed) error {
+func (h *fakePlatform) Register(_ context.Context, s member.Seed) (ident.Era, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.down {
+		return 0, plat.ErrNotFound
+	}
 	h.seeds[s.Node] = s
-	return nil
+	return h.position.Era, nil
 }
 
 func (h *fakePlatform) Nodes(context.Context) ([]member.Seed, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.down {
+		return nil, plat.ErrNotFound
+	}
 	var out []member.Seed
 	for _, s := range h.seeds {
 		out = append(out, s)
--- a/io/node/restore_test.go
+++ b/io/node/restore_test.go
@@ -86,3 +86,48 @@
 	// Time bounds hold from 3 s after the store's return.
 	is.True(time.Since(began) < 3*time.Second)
 }
+
+// TestEntriesAfterRestore guards against live nodes that stay out of the directory because
+// their entries were lost when the store was restored from an older copy, so that nodes
+// that start later do not find them.
+func TestEntriesAfterRestore(t *testing.T) {
+	h := newFakePlatform(t)
+	h.position.Era = 1
+	names := []ident.NodeID{"a", "b", "c", "d", "e"}
+	var nodes []*Node
+	for _, id := range names {
+		n, _ := h.start(t, id)
+		nodes = append(nodes, n)
+	}
+	defer stopNodes(t, nodes...)
+	await(t, "a whole fleet", func() bool {
+		for _, n := range nodes {
+			if len(n.fleet.records()) != len(nodes) || !n.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(pauseAfterRelease)
+	h.change(func() { h.down = true })
+	time.Sleep(500 * time.Millisecond)
+	h.mu.Lock()
+	clear(h.seeds)
+	h.mu.Unlock()
+	h.restore(t, 1)
+	// A call after a backoff of up to 1 s shows the era, and the entries are checked once
+	// a second.
+	deadline := time.Now().Add(4 * time.Second)
+	for {
+		h.mu.Lock()
+		listed := len(h.seeds)
+		h.mu.Unlock()
+		if listed == len(names) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d nodes are listed", listed, len(names))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,15 +18,8 @@
 )
 
 const (
-	// minDirectoryBackoff and maxDirectoryBackoff bound the delay after a failed call to
-	// the directory.
-	minDirectoryBackoff = 100 * clock.Millis(1)
-	maxDirectoryBackoff = 1 * clock.Second
 	// readTimeoutMillis bounds a read of the source and a call to the directory.
 	readTimeoutMillis = 2 * clock.Second
-	// aloneListMillis is the interval at which a node that knows no other live node reads
-	// the directory again.
-	aloneListMillis = 1 * clock.Second
 	// watchersPerDomain is the number of nodes in each failure domain that wait for
 	// changes of the source; the others get them as deltas from their neighbours. There
 	// are several, so that no release is delayed if one of them stops or is partitioned.
@@ -66,8 +60,12 @@
 	// readRequest holds a request to read the source at once; its capacity is 1.
 	readRequest chan struct{}
 
-	// follower decides which calls to the source to make.
+	// follower decides which calls to the source to make. It belongs to run.
 	follower feed.Follower
+	// era is the era of the last answer of the source, for join.
+	era atomic.Uint64
+	// entry is the state of the node's entry in the directory. It belongs to join.
+	entry feed.Entry
 }
 
 // run registers the node in the directory and follows the source until ctx ends.
@@ -190,6 +188,7 @@
 
 // answered records what an answer of the source changed.
 func (w *watcher) answered(out feed.Outcome) {
+	w.era.Store(uint64(w.follower.Position().Era))
 	w.metrics.sourceAnswered(w.follower.Position(), w.clock.Now())
 	if out.Regained {
 		w.logDecision(reasonSourceFound)
@@ -213,46 +212,3 @@
 		w.fleet.setFloor(floor)
 	}
 }
-
-// join registers the node in the directory and adds the listed nodes as seeds. Of any two
-// nodes, the one that registered last finds the other, so one read of the directory is
-// enough for nodes that start at the same time. While no other live node is known, the
-// directory is read again every aloneListMillis.
-func (w *watcher) join(ctx context.Context, random *rand.Rand) {
-	backoff := minDirectoryBackoff
-	for !w.register(ctx) {
-		if !sleep(ctx, (backoff * clock.Millis(0.5+random.Float64()/2)).Duration()) {
-			return
-		}
-		backoff = min(2*backoff, maxDirectoryBackoff)
-	}
-	w.listNodes(ctx)
-	for sleep(ctx, aloneListMillis.Duration()) {
-		if w.fleet.alone() {
-			w.listNodes(ctx)
-		}
-	}
-}
-
-// register writes the node's entry to the directory and reports success.
-func (w *watcher) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readTimeoutMillis.Duration())
-	defer cancel()
-	if err := w.directory.Register(ctx, w.self()); err != nil {
-		w.metrics.sourceErrors.Inc()
-		return false
-	}
-	return true
-}
-
-// listNodes reads the directory and passes its nodes to the fleet.
-func (w *watcher) listNodes(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeoutMillis.Duration())
-	defer cancel()
-	seeds, err := w.directory.Nodes(ctx)
-	if err != nil {
-		w.metrics.sourceErrors.Inc()
-		return
-	}
-	w.fleet.addSeeds(seeds)
-}
--- a/io/plat/source.go
+++ b/io/plat/source.go
@@ -24,8 +24,9 @@
 	// Directory is the list of nodes by which they discover each other. Errors are
 	// *result.Error.
 	Directory interface {
-		// Register adds or replaces a node's own entry.
-		Register(ctx context.Context, s member.Seed) error
+		// Register adds or replaces a node's entry and returns the era of the directory in
+		// which it did, or 0 if that is not known.
+		Register(ctx context.Context, s member.Seed) (ident.Era, error)
 		// Nodes returns all entries, possibly with those of nodes that no longer
 		// exist.
 		Nodes(ctx context.Context) ([]member.Seed, error)
