Write a node's entry again when the store's era becomes known

An entry that was written before the store showed an era was taken as kept in every later one. It is now due in any era above the one that was known when it was written; a store that answers writes without an era causes no second write.

--- a/core/feed/entry.go
+++ b/core/feed/entry.go
@@ -7,17 +7,18 @@
 // was never written.
 type Entry struct {
 	written bool
-	// era is that in which the entry was last written; 0 if the store does not report it.
+	// era is that in which the entry was last written; 0 if it is not known.
 	era ident.Era
 }
 
 // Due reports whether the entry has to be written in an era of the store; 0 means that the
 // era is not known.
 func (e *Entry) Due(era ident.Era) bool {
-	return !e.written || e.era != 0 && era > e.era
+	return !e.written || era > e.era
 }
 
-// Written records that the entry was written in an era.
-func (e *Entry) Written(era ident.Era) {
-	e.written, e.era = true, era
+// Written records that the entry was written. era is that of the store's answer, or 0, and
+// known the latest era that the node knew before the write.
+func (e *Entry) Written(era, known ident.Era) {
+	e.written, e.era = true, max(era, known)
 }
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -63,13 +63,14 @@
 func (w *watcher) writeEntry(ctx context.Context, s member.Seed) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeoutMillis.Duration())
 	defer cancel()
+	known := ident.Era(w.era.Load())
 	era, err := w.directory.Register(ctx, s)
 	if err != nil {
 		w.metrics.sourceErrors.Inc()
 		return false
 	}
 	if s.Node == w.self().Node {
-		w.entry.Written(era)
+		w.entry.Written(era, known)
 	}
 	return true
 }
