io/peer: answer calls on connections that a stopping node has not accepted

Cause: the dialing side of a handshake completes first and sends its call at once. Connections that were established but not accepted were destroyed without a word to the peer, since accept ended before the listener was closed; their callers waited for the stall detector or their deadline.

Run now closes the listener first, lets accept empty the queue and closes these connections as not run, then closes the others and the socket. Connections are registered by accept itself, so that none is missed in between. A caller takes CONNECTION_REFUSED from the peer as NotRun: QUIC sends it only for a connection that was not accepted (RFC 9000, 20.1), on which no stream can have been served.

--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -168,6 +168,10 @@
 	case errors.As(err, &stream) && stream.Remote && stream.ErrorCode == codeNotRun,
 		errors.As(err, &application) && application.Remote && application.ErrorCode == codeNotRun:
 		return result.NewError(result.NotRun, reasonRefused, err)
+	case errors.As(err, &transport) && transport.Remote && transport.ErrorCode == quic.ConnectionRefused:
+		// The peer stopped before it accepted the connection and so accepted no stream on
+		// it, although this side's handshake was complete.
+		return result.NewError(result.NotRun, reasonRefused, err)
 	case errors.As(err, &transport) && transport.ErrorCode.IsCryptoError():
 		// The peer rejected the certificate. The dialing side completes its handshake
 		// first, but the peer accepts no stream before its own side is complete.
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -304,10 +304,11 @@
 	return &connection{quic: conn, node: to, control: protocol == controlProtocol, release: release}, nil
 }
 
-// accept accepts connections of peers until the listener is closed.
+// accept accepts connections of peers until the listener is closed and its queue is
+// empty. Those that it accepts after stopListening are closed as not run.
 func (t *Transport) accept() {
 	for {
-		conn, err := t.listener.Accept(t.runCtx)
+		conn, err := t.listener.Accept(context.Background())
 		if err != nil {
 			return
 		}
@@ -321,12 +322,12 @@
 			quic: conn, node: node, lastUsed: time.Now(),
 			control: state.NegotiatedProtocol == controlProtocol,
 		}
-		t.group.Go(func() { t.serve(c) })
+		t.admit(c)
 	}
 }
 
-// serve handles an accepted connection until it is closed.
-func (t *Transport) serve(c *connection) {
+// admit serves an accepted connection, or closes it if the transport is closed.
+func (t *Transport) admit(c *connection) {
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
@@ -339,6 +340,12 @@
 	}
 	draining := t.draining
 	t.mu.Unlock()
+	t.group.Go(func() { t.serve(c, draining) })
+}
+
+// serve handles an accepted connection until it is closed. If the transport drained when
+// the connection was accepted, it asks the caller to go away.
+func (t *Transport) serve(c *connection, draining bool) {
 	if c.control {
 		t.metrics.track(c)
 		t.receiveControl(c)
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -151,16 +151,29 @@
 // Run serves peers until ctx ends, then closes every connection. Calls that are
 // in flight at that time fail; call Drain first to let them finish.
 func (t *Transport) Run(ctx context.Context) error {
-	t.group.Go(t.accept)
+	var accepting conc.WaitGroup
+	accepting.Go(t.accept)
 	t.group.Go(t.sweep)
 	<-ctx.Done()
+	t.stopListening()
+	accepting.Wait()
 	return t.shutdown()
 }
 
-// shutdown closes the connections and waits for the transport's goroutines.
-func (t *Transport) shutdown() error {
+// stopListening refuses the handshakes in progress and ends accept once it has taken
+// the established connections from the listener's queue. No peer is left without an
+// answer: closing the socket alone would leave those connections open at the peers.
+func (t *Transport) stopListening() {
 	t.mu.Lock()
 	t.draining, t.closed = true, true
+	t.mu.Unlock()
+	_ = t.listener.Close() // always returns nil
+}
+
+// shutdown closes the connections and waits for the transport's goroutines. It must be
+// called after accept has returned.
+func (t *Transport) shutdown() error {
+	t.mu.Lock()
 	open := make([]*connection, 0, len(t.accepted)+len(t.dialed))
 	for c := range t.accepted {
 		open = append(open, c)
@@ -173,7 +186,7 @@
 		c.close(c.closeCode(), "shutdown")
 	}
 	t.cancelRun()
-	err := errors.Join(t.listener.Close(), t.quic.Close(), t.socket.Close())
+	err := errors.Join(t.quic.Close(), t.socket.Close())
 	t.group.Wait()
 	return err
 }
