proxy: believe a refusal only with the id of its request

What callers would see: 503 with Retry-After ("not run, try again") for a request that a target was running, or such a request run at a second target.

Cause: a response without a request id counted as the response to the request that waited on the connection, also a refusal. A refusal that a target wrote once more on a kept connection, between the check for unread bytes and the request, then gave NotRun for that request if the copy had no id, an empty one, or the id in two header lines of which the first matched (only the first was read). If a request was sent again to the target that had refused it, on the same connection, the copy even had the right id. The 503 or 429 of a health check, without Not-Executed, was passed on to the caller with its status, which promises the same.

Change: a refusal is believed only if exactly one id line names the request and no earlier attempt of the request was refused on that connection. A connection remembers the ids refused on it, is replaced if one of them is to be sent again, and is closed after 32 refusals, which bounds the list. Without an id in the request, only the first response of a connection is believed. An answer with another id only is skipped as before. What an unbelieved refusal states about its target (that it leaves, its limit) is ignored.

Why it works: the ids of the responses are the only mark of whose they are, and a target repeats the id of each request that it read. What remains without a sure owner gets the verdict that promises nothing.

--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"strings"
 
 	"hickoryrail/core/clock"
@@ -36,6 +35,9 @@
 		// Unexecuted reports whether a response states that the request was not run.
 		// Nil means that no response does.
 		Unexecuted func(status int, header func(name string) []byte) bool
+		// Promises reports whether callers take a status to state that the request was
+		// not run. Nil means that they take no status so.
+		Promises func(status int) bool
 		// Notice returns what a target states about itself in an answer. Nil means that
 		// answers state nothing.
 		Notice func(header func(name string) []byte) report.Notice
@@ -81,14 +83,23 @@
 	return !success || len(header(d.SignatureHeader)) > 0 && len(header("Content-Encoding")) == 0
 }
 
-// matchesRequest reports whether a response belongs to the request with the given id.
-// A response without an id matches.
-func (d *Dialect) matchesRequest(id []byte, header func(name string) []byte) bool {
-	if d.RequestIDHeader == "" || len(id) == 0 {
-		return true
+// requestID returns the id that responses to r repeat; empty if there is none.
+func (d *Dialect) requestID(r *wire.Request) []byte {
+	if d.RequestIDHeader == "" {
+		return nil
 	}
-	echoed := header(d.RequestIDHeader)
-	return len(echoed) == 0 || bytes.Equal(echoed, id)
+	return r.Headers.Get(d.RequestIDHeader)
+}
+
+// statesNotRun reports whether a response states that its request was not run, to the
+// node or to callers.
+func (d *Dialect) statesNotRun(status int, header func(name string) []byte) bool {
+	return d.isUnexecuted(status, header) || d.Promises != nil && d.Promises(status)
+}
+
+// isUnexecuted reports whether a response states that its request was not run.
+func (d *Dialect) isUnexecuted(status int, header func(name string) []byte) bool {
+	return d.Unexecuted != nil && d.Unexecuted(status, header)
 }
 
 // statesLeaving reports whether a target stated in its answer that it leaves.
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -33,6 +33,9 @@
 		Unexecuted: func(status int, header func(string) []byte) bool {
 			return status == http.StatusMisdirectedRequest || len(header("Unrun")) > 0
 		},
+		Promises: func(status int) bool {
+			return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+		},
 	}
 }
 
@@ -122,8 +125,8 @@
 		"no proof":     {"HTTP/1.1 200 OK\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok", false, result.MayHaveRun, "", reasonUnsigned},
 		"encoded":      {"HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", false, result.MayHaveRun, "", reasonUnsigned},
 		"cut":          {"HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 9\r\n\r\nok", true, result.MayHaveRun, "", reasonTargetLost},
-		"unrun":        {"HTTP/1.1 503 Busy\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n", false, result.NotRun, "", reasonUnexecuted},
-		"other target": {"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", false, result.NotRun, "", reasonUnexecuted},
+		"unrun":        {"HTTP/1.1 503 Busy\r\nUnrun: 1\r\nCall: %s\r\nContent-Length: 0\r\n\r\n", false, result.NotRun, "", reasonUnexecuted},
+		"other target": {"HTTP/1.1 421 Other\r\nCall: %s\r\nContent-Length: 0\r\n\r\n", false, result.NotRun, "", reasonUnexecuted},
 		"failure":      {"HTTP/1.1 500 No\r\nCall: %s\r\nContent-Length: 2\r\n\r\nno", false, result.Ran, "no", ""},
 		"late one first": {
 			"HTTP/1.1 200 OK\r\nStamp: s\r\nCall: earlier\r\nContent-Length: 3\r\n\r\nold" +
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,10 @@
 	maxInterim = 8
 	// maxStray bounds the responses to earlier requests before the one to this request.
 	maxStray = 8
+	// maxRefused bounds the ids that a connection remembers of the requests that were
+	// refused on it. It is closed at the bound; a new connection for one in 32 refusals
+	// costs little.
+	maxRefused = 32
 	// chunked and identity are the values by which fasthttp's ContentLength reports a
 	// body without a length: in chunks, and until the connection ends.
 	chunked, identity = -1, -2
@@ -44,6 +49,7 @@
 	reasonAnswerSize   = "target's answer is too large"
 	reasonGaveUp       = "caller gave up"
 	reasonUnexecuted   = "target did not run the request"
+	reasonUnidentified = "answer does not identify its request"
 	reasonUnsigned     = "answer is not the target's whole one"
 )
 
@@ -70,6 +76,10 @@
 		sentBytes int
 		// used is set once the connection has carried a request.
 		used bool
+		// refused holds the ids of the requests that were refused on this connection, at
+		// most maxRefused. If one of them is sent again here, a refusal with its id may be
+		// the earlier one.
+		refused [][]byte
 	}
 
 	// exchange is one request on one connection.
@@ -81,6 +91,10 @@
 		// id is the caller's id of the request, which the response repeats; empty if
 		// the dialect has none.
 		id []byte
+		// first is set if the connection has carried no other request.
+		first bool
+		// owned is set if the response surely belongs to the request.
+		owned bool
 		// bodyToEOF is set if the response body ended with its connection.
 		bodyToEOF bool
 		// stray counts the responses to other requests that preceded it.
@@ -98,6 +112,8 @@
 	errNoLength = errors.New("answer has neither a length nor chunks")
 	// errInterim reports a response that does not become final.
 	errInterim = errors.New("answer has too many or unusable interim responses")
+	// errSeveralIDs reports a response that names the request and others.
+	errSeveralIDs = errors.New("answer has several request ids")
 	// errStray reports a target that keeps answering other requests.
 	errStray = errors.New("too many answers to other requests")
 )
@@ -150,6 +166,11 @@
 	return c.probe.Peek() != sock.Idle
 }
 
+// hasRefused reports whether a request with a non-empty id was refused on the connection.
+func (c *targetConn) hasRefused(id []byte) bool {
+	return len(id) > 0 && slices.ContainsFunc(c.refused, func(refused []byte) bool { return bytes.Equal(refused, id) })
+}
+
 // call sends r once and returns the target's complete response or a *result.Error. If
 // r is idempotent, it ends when ctx is done; otherwise it waits for the response
 // until the deadline, because an interrupted exchange would lose the outcome of an
@@ -160,6 +181,7 @@
 		return nil, result.NewError(result.NotRun, reasonDeadline, nil)
 	}
 	until := time.Now().Add(left)
+	id := t.dialect.requestID(r)
 	for {
 		cc, err := t.client.AcquireConn(left, false)
 		if err != nil {
@@ -171,9 +193,10 @@
 			return nil, result.NewError(result.NotRun, reasonNoConnection, errNotTCP)
 		}
 		conn.sentBytes = 0
-		if conn.SetDeadline(until) != nil || conn.stale() {
-			// Nothing was sent. A stale pooled connection is replaced; a target that
-			// closes a new one is not accepting connections.
+		if conn.SetDeadline(until) != nil || conn.stale() || conn.hasRefused(id) {
+			// Nothing was sent. A stale pooled connection, or one on which an answer
+			// would not be sure, is replaced; a target that closes a new one is not
+			// accepting connections.
 			t.client.CloseConn(cc)
 			if conn.used {
 				continue
@@ -184,8 +207,8 @@
 			t.client.ReleaseConn(cc)
 			return nil, result.NewError(result.NotRun, leftReason(ctx), ctx.Err())
 		}
-		conn.used = true
 		resp, reusable, err := t.exchange(ctx, conn, r, now, until)
+		conn.used = true
 		if reusable {
 			t.client.ReleaseConn(cc)
 		} else {
@@ -198,7 +221,10 @@
 // exchange sends r on conn, not before sentAt, and reads the response. It reports whether the connection
 // can be reused.
 func (t *target) exchange(ctx context.Context, conn *targetConn, r *wire.Request, sentAt clock.Millis, until time.Time) (*wire.Response, bool, error) {
-	x := exchange{conn: conn, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), deadline: until}
+	x := exchange{
+		conn: conn, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), deadline: until,
+		id: t.dialect.requestID(r), first: !conn.used,
+	}
 	defer fasthttp.ReleaseRequest(x.req)
 	defer fasthttp.ReleaseResponse(x.resp)
 	stop := func() bool { return true }
@@ -211,11 +237,16 @@
 	if err != nil {
 		return nil, false, x.resultError(ctx, err)
 	}
+	if !x.owned && t.dialect.statesNotRun(x.resp.StatusCode(), x.resp.Header.Peek) {
+		return nil, false, result.NewError(result.MayHaveRun, reasonUnidentified, nil)
+	}
 	if t.noticed != nil && t.dialect.Notice != nil {
 		t.noticed(sentAt, t.dialect.Notice(x.resp.Header.Peek))
 	}
-	if t.unexecuted(x.resp) {
-		return nil, clean && !x.resp.ConnectionClose(), result.NewError(result.NotRun, reasonUnexecuted, nil)
+	if t.dialect.isUnexecuted(x.resp.StatusCode(), x.resp.Header.Peek) {
+		conn.refused = append(conn.refused, bytes.Clone(x.id))
+		reusable := clean && !x.resp.ConnectionClose() && len(conn.refused) < maxRefused
+		return nil, reusable, result.NewError(result.NotRun, reasonUnexecuted, nil)
 	}
 	if !t.dialect.isSigned(x.resp.StatusCode(), x.resp.Header.Peek) {
 		return nil, false, result.NewError(result.MayHaveRun, reasonUnsigned, nil)
@@ -232,19 +263,10 @@
 	return resp, clean && !x.resp.ConnectionClose(), nil
 }
 
-// unexecuted reports whether the target's response states that it did not run the
-// request.
-func (t *target) unexecuted(resp *fasthttp.Response) bool {
-	return t.dialect.Unexecuted != nil && t.dialect.Unexecuted(resp.StatusCode(), resp.Header.Peek)
-}
-
 // roundTrip writes the request and reads the response. It reports whether the
 // connection is clean, with nothing else sent before or after the response.
 func (t *target) roundTrip(x *exchange, r *wire.Request) (bool, error) {
 	t.fillRequest(x.req, r, time.Until(x.deadline))
-	if t.dialect.RequestIDHeader != "" {
-		x.id = x.req.Header.Peek(t.dialect.RequestIDHeader)
-	}
 	w := t.client.AcquireWriter(x.conn)
 	err := x.req.Write(w)
 	if err == nil {
@@ -261,7 +283,11 @@
 		if err := x.read(b, int(t.limits.BodyBytes), t.dialect.SignatureHeader != ""); err != nil {
 			return false, err
 		}
-		if t.dialect.matchesRequest(x.id, x.resp.Header.Peek) {
+		other, err := x.identify(t.dialect.RequestIDHeader)
+		if err != nil {
+			return false, err
+		}
+		if !other {
 			break
 		}
 		// This is a late response to an earlier request on this connection.
@@ -356,6 +382,8 @@
 		return result.NewError(result.MayHaveRun, reasonDeadline, err)
 	case ctx.Err() != nil:
 		return result.NewError(result.MayHaveRun, reasonGaveUp, err)
+	case errors.Is(err, errSeveralIDs):
+		return result.NewError(result.MayHaveRun, reasonUnidentified, err)
 	case errors.Is(err, errNoLength):
 		return result.NewError(result.MayHaveRun, reasonNoLength, err)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
