Read the source when the nodes that should do not reach it

Cause: the first three live nodes of each failure domain wait for changes, whether or not they reach the store; the others read it every 30 to 60 s only.

Change: a node that gets an answer of the store sends the heartbeat of its region's reader, which the overlay has for fleets with a lease, unless one is less than 1 s old. A node that has heard none for 4 s waits for changes in place of the others, until another node has had an answer.

Test: TestWatchersRefusedBySource failed before ("version 2 in force 7s after the change to 3"; 7 s is the bound of a configuration plus the skew while a part is refused).

--- a/io/node/hosted_test.go
+++ b/io/node/hosted_test.go
@@ -19,6 +19,7 @@
 	"hickoryrail/core/model"
 	"hickoryrail/core/report"
 	"hickoryrail/core/retry"
+	"hickoryrail/core/sets"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/plat"
@@ -39,8 +40,9 @@
 		// release was written.
 		position        feed.Position
 		releaseRevision ident.Revision
-		// down makes all calls fail.
-		down bool
+		// down makes all calls fail, and refused those of single nodes to the source.
+		down    bool
+		refused sets.Set[ident.NodeID]
 		// newestFails makes reads of the newest release fail.
 		newestFails bool
 		seeds       map[ident.NodeID]member.Seed
@@ -57,6 +59,12 @@
 		log     io.Writer
 	}
 
+	// nodeSource is the platform as one node's source.
+	nodeSource struct {
+		*fakePlatform
+		node ident.NodeID
+	}
+
 	// noopEndpoint is an endpoint without a server.
 	noopEndpoint struct{}
 )
@@ -70,6 +78,31 @@
 
 func (noopEndpoint) Drain(context.Context) error { return nil }
 
+func (s nodeSource) Newest(ctx context.Context) (feed.Answer, error) {
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	return s.fakePlatform.Newest(ctx)
+}
+
+func (s nodeSource) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	a, err := s.fakePlatform.Next(ctx, after, hold)
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	return a, err
+}
+
+// refuses reports whether the source refuses the node's calls.
+func (s nodeSource) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused.Has(s.node)
+}
+
 func (h *fakePlatform) Newest(context.Context) (feed.Answer, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -195,7 +228,7 @@
 		t.Fatal(err)
 	}
 	n, err := NewHosted(Hosted{
-		Settings: s, Dialect: h.dialect, Source: h, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/io/node/restore_test.go
+++ b/io/node/restore_test.go
@@ -1,26 +1,39 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"hickoryrail/core/ident"
+	"hickoryrail/core/sets"
 )
 
-// applyTimeout is the time in which a change of the operators must be in force.
-const applyTimeout = 2 * time.Second
+const (
+	// applyTimeout is the time in which a change of the operators must be in force.
+	applyTimeout = 2 * time.Second
+	// skewTimeout is the additional time while the source refuses some nodes.
+	skewTimeout = 5 * time.Second
+)
 
 // awaitVersion waits until all nodes have a version in force, and fails the test after
 // applyTimeout.
 func awaitVersion(t *testing.T, v ident.Version, nodes ...*Node) {
 	t.Helper()
-	deadline := time.Now().Add(applyTimeout)
+	awaitVersionFor(t, applyTimeout, v, nodes...)
+}
+
+// awaitVersionFor waits until all nodes have a version in force, and fails the test after
+// limit.
+func awaitVersionFor(t *testing.T, limit time.Duration, v ident.Version, nodes ...*Node) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
 	for _, n := range nodes {
 		for n.Version() != v {
 			if time.Now().After(deadline) {
-				t.Fatalf("node %s has version %d in force %v after the change to %d", n.settings.Node, n.Version(), applyTimeout, v)
+				t.Fatalf("node %s has version %d in force %v after the change to %d", n.settings.Node, n.Version(), limit, v)
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -101,12 +114,7 @@
 	}
 	defer stopNodes(t, nodes...)
 	await(t, "a whole fleet", func() bool {
-		for _, n := range nodes {
-			if len(n.fleet.records()) != len(nodes) || !n.Ready() {
-				return false
-			}
-		}
-		return true
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.fleet.records()) != len(nodes) || !n.Ready() })
 	})
 	time.Sleep(pauseAfterRelease)
 	h.change(func() { h.down = true })
@@ -131,3 +139,28 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestWatchersRefusedBySource guards against a change that is in force late because the
+// source refuses just those nodes that wait for changes, and the others do not read it.
+func TestWatchersRefusedBySource(t *testing.T) {
+	h := newFakePlatform(t)
+	names := []ident.NodeID{"a", "b", "c", "d", "e"}
+	var nodes []*Node
+	for _, id := range names {
+		n, _ := h.start(t, id)
+		nodes = append(nodes, n)
+	}
+	defer stopNodes(t, nodes...)
+	await(t, "a whole fleet", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.fleet.records()) != len(nodes) || !n.Ready() })
+	})
+	h.publish(t) // ends the waits of nodes that do not wait for changes any more
+	awaitVersion(t, 2, nodes...)
+	time.Sleep(pauseAfterRelease)
+	h.change(func() { h.refused = sets.Of(names[:watchersPerDomain]...) })
+	h.publish(t)
+	awaitVersionFor(t, applyTimeout+skewTimeout, 3, nodes...)
+	time.Sleep(pauseAfterRelease)
+	h.publish(t)
+	awaitVersion(t, 4, nodes...) // a node that waits in place of the others has it at once
+}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
+	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
 	"hickoryrail/io/logs"
@@ -27,6 +28,15 @@
 	// watchCheckMillis is the interval at which a node checks whether it has to wait for
 	// changes.
 	watchCheckMillis = 400 * clock.Millis(1)
+	// silenceMillis is the time without an answer of the source to any node of the region,
+	// as far as a node knows, from which on it waits for changes itself. Leaders get an
+	// answer every 1.5 s, and their heartbeats take less than 1 s through the overlay.
+	silenceMillis = 4 * clock.Second
+	// heartbeatMillis is the minimum age of the last heartbeat at which a node that gets an
+	// answer sends the next one.
+	heartbeatMillis = 1 * clock.Second
+	// heartbeatEpoch is the epoch of the heartbeats; without a lease there is only one.
+	heartbeatEpoch ident.Epoch = 1
 	// maxReadIntervalMillis bounds the time between reads of the source by a node that
 	// does not wait for changes.
 	maxReadIntervalMillis = 60 * clock.Second
@@ -48,6 +58,7 @@
 	source    plat.Source
 	directory plat.Directory
 	fleet     *fleet
+	region    ident.Region
 	log       logs.Sink
 	metrics   *metrics
 	random    *rand.Rand
@@ -62,6 +73,12 @@
 
 	// follower decides which calls to the source to make. It belongs to run.
 	follower feed.Follower
+	// started is the time at which run began.
+	started clock.Millis
+	// substitute reports whether the node waits for changes in place of others, and
+	// announcedAt is when it last sent a heartbeat. They belong to run.
+	substitute  bool
+	announcedAt clock.Millis
 	// era is the era of the last answer of the source, for join.
 	era atomic.Uint64
 	// entry is the state of the node's entry in the directory. It belongs to join.
@@ -76,7 +93,7 @@
 	wg.Go(func() { w.join(ctx, joinRandom) })
 	w.follower.Rand = w.random
 	w.follower.RequireRead()
-	started := w.clock.Now()
+	w.started = w.clock.Now()
 	for ctx.Err() == nil {
 		step := w.follower.Step(w.role())
 		switch {
@@ -86,7 +103,7 @@
 		case step.Kind == feed.Read && w.read(ctx):
 			continue
 		}
-		if w.clock.Now()-started >= w.startSourceMillis {
+		if w.clock.Now()-w.started >= w.startSourceMillis {
 			w.floorFromPeers()
 		}
 		w.awaitRead(ctx)
@@ -100,12 +117,26 @@
 	switch {
 	case w.fleet.leadsDomain(1):
 		return feed.Leader
-	case w.fleet.leadsDomain(watchersPerDomain) || !w.fleet.hasRelease():
+	case w.fleet.leadsDomain(watchersPerDomain), !w.fleet.hasRelease(), w.substitutes():
 		return feed.Watcher
 	}
 	return feed.Reader
 }
 
+// substitutes reports whether the node waits for changes in place of the nodes that should:
+// the source may refuse just those. It does so from silenceMillis without an answer of the
+// source to any node until another node has had one.
+func (w *watcher) substitutes() bool {
+	now := w.clock.Now()
+	age := w.fleet.heartbeatAge(w.region)
+	if min(age, now-w.started) >= silenceMillis {
+		w.substitute = true
+	} else if now-age > w.announcedAt+heartbeatMillis/2 {
+		w.substitute = false
+	}
+	return w.substitute
+}
+
 // awaitRead waits until the node has to read the source: because it now has to wait for
 // changes, because its neighbours cannot provide a release, or because
 // maxReadIntervalMillis, reduced at random by up to half, have passed.
@@ -190,6 +221,10 @@
 func (w *watcher) answered(out feed.Outcome) {
 	w.era.Store(uint64(w.follower.Position().Era))
 	w.metrics.sourceAnswered(w.follower.Position(), w.clock.Now())
+	if w.fleet.heartbeatAge(w.region) >= heartbeatMillis {
+		w.announcedAt = w.clock.Now()
+		w.fleet.readerHeartbeat(w.region, heartbeatEpoch)
+	}
 	if out.Regained {
 		w.logDecision(reasonSourceFound)
 	}
