--- a/io/node/restore_test.go
+++ b/io/node/restore_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// startFleet starts nodes and waits until they know each other and are ready.
+func (h *fakePlatform) startFleet(t *testing.T, names []ident.NodeID) []*Node {
+	t.Helper()
+	var nodes []*Node
+	for _, id := range names {
+		n, _ := h.start(t, id)
+		nodes = append(nodes, n)
+	}
+	await(t, "a whole fleet", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.fleet.records()) != len(nodes) || !n.Ready() })
+	})
+	return nodes
+}
+
 // restore lets the platform come back from an older copy. The next revision that it
 // gives out is that of the copy plus 1.
 func (h *fakePlatform) restore(t *testing.T, copied ident.Revision) {
@@ -107,15 +121,8 @@
 	h := newFakePlatform(t)
 	h.position.Era = 1
 	names := []ident.NodeID{"a", "b", "c", "d", "e"}
-	var nodes []*Node
-	for _, id := range names {
-		n, _ := h.start(t, id)
-		nodes = append(nodes, n)
-	}
+	nodes := h.startFleet(t, names)
 	defer stopNodes(t, nodes...)
-	await(t, "a whole fleet", func() bool {
-		return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.fleet.records()) != len(nodes) || !n.Ready() })
-	})
 	time.Sleep(pauseAfterRelease)
 	h.change(func() { h.down = true })
 	time.Sleep(500 * time.Millisecond)
@@ -145,15 +152,8 @@
 func TestWatchersRefusedBySource(t *testing.T) {
 	h := newFakePlatform(t)
 	names := []ident.NodeID{"a", "b", "c", "d", "e"}
-	var nodes []*Node
-	for _, id := range names {
-		n, _ := h.start(t, id)
-		nodes = append(nodes, n)
-	}
+	nodes := h.startFleet(t, names)
 	defer stopNodes(t, nodes...)
-	await(t, "a whole fleet", func() bool {
-		return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.fleet.records()) != len(nodes) || !n.Ready() })
-	})
 	h.publish(t) // ends the waits of nodes that do not wait for changes any more
 	awaitVersion(t, 2, nodes...)
 	time.Sleep(pauseAfterRelease)
