io/node: the platform's fake in a file of its own

The fake of the platform and its methods move to fakeplatform_test.go; no line of a test changes, only the imports are divided. The hosted, watch, source and restore tests of the package pass.

--- /dev/null
+++ b/io/node/fakeplatform_test.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/feed"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
+	"hickoryrail/core/retry"
+	"hickoryrail/core/sets"
+	"hickoryrail/io/conf"
+	"hickoryrail/io/plat"
+	"hickoryrail/io/proxy"
+)
+
+// pauseAfterRelease is longer than a node takes to wait for changes again after one.
+const pauseAfterRelease = 1500 * time.Millisecond
+
+type (
+	// fakePlatform is a fake of the platform for hosted nodes. It implements plat.Source
+	// with one release and plat.Directory, and its endpoints do nothing.
+	fakePlatform struct {
+		// mu guards the fields below.
+		mu      sync.Mutex
+		release model.Release
+		// position is the state of the platform, and releaseRevision the revision at which
+		// release was written.
+		position        feed.Position
+		releaseRevision ident.Revision
+		// down makes all calls fail, and refused those of single nodes to the source.
+		down    bool
+		refused sets.Set[ident.NodeID]
+		// newestFails makes reads of the newest release fail.
+		newestFails bool
+		seeds       map[ident.NodeID]member.Seed
+		// changed is closed when the release changes.
+		changed chan struct{}
+		// waits counts the waits for a change that returned a release, and reads the
+		// successful reads of the newest release.
+		waits, reads int
+		// controls holds the Control of each node, in order of their start.
+		controls []Control
+		// dialect is that of the nodes, and log receives their logs unless it is nil; set
+		// before they start.
+		dialect proxy.Dialect
+		log     io.Writer
+	}
+
+	// nodeSource is the platform as one node's source.
+	nodeSource struct {
+		*fakePlatform
+		node ident.NodeID
+	}
+
+	// noopEndpoint is an endpoint without a server.
+	noopEndpoint struct{}
+)
+
+func (noopEndpoint) Open() error { return nil }
+
+func (noopEndpoint) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (noopEndpoint) Drain(context.Context) error { return nil }
+
+func (s nodeSource) Newest(ctx context.Context) (feed.Answer, error) {
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	return s.fakePlatform.Newest(ctx)
+}
+
+func (s nodeSource) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	a, err := s.fakePlatform.Next(ctx, after, hold)
+	if s.refuses() {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	return a, err
+}
+
+// refuses reports whether the source refuses the node's calls.
+func (s nodeSource) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused.Has(s.node)
+}
+
+func (h *fakePlatform) Newest(context.Context) (feed.Answer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.newestFails || h.down {
+		return feed.Answer{}, plat.ErrNotFound
+	}
+	h.reads++
+	return feed.Answer{Release: h.release, Position: h.position}, nil
+}
+
+func (h *fakePlatform) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
+	for {
+		h.mu.Lock()
+		a, written, down, changed := feed.Answer{Release: h.release, Position: h.position}, h.releaseRevision, h.down, h.changed
+		if written > after && !down {
+			h.waits++
+		}
+		h.mu.Unlock()
+		switch {
+		case down:
+			return feed.Answer{}, plat.ErrNotFound
+		case after > a.Position.Revision:
+			return feed.Answer{Position: feed.Position{Era: a.Position.Era}}, plat.ErrRevisionUnknown
+		case written > after:
+			return a, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Answer{}, ctx.Err()
+		case <-time.After(hold.Duration()):
+			return feed.Answer{Position: a.Position}, nil
+		case <-changed:
+		}
+	}
+}
+
+// publish replaces the release of the source by one with another timeout.
+func (h *fakePlatform) publish(t *testing.T) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.release.Configuration
+	c.Rules.Routes = slices.Clone(c.Rules.Routes)
+	c.Rules.Routes[0].TimeoutMillis++
+	r, err := model.NewRelease(h.release.Version+1, "e", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.release = r
+	h.position.Revision++
+	h.releaseRevision = h.position.Revision
+	h.wake()
+}
+
+// wake makes the waits for changes look at the state again. The caller holds mu.
+func (h *fakePlatform) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// change changes the state of the platform.
+func (h *fakePlatform) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	h.wake()
+}
+
+func (h *fakePlatform) Register(_ context.Context, s member.Seed) (ident.Era, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return 0, plat.ErrNotFound
+	}
+	h.seeds[s.Node] = s
+	return h.position.Era, nil
+}
+
+func (h *fakePlatform) Nodes(context.Context) ([]member.Seed, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return nil, plat.ErrNotFound
+	}
+	var out []member.Seed
+	for _, s := range h.seeds {
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// newFakePlatform returns a platform whose release has one route, to the service orders.
+func newFakePlatform(t *testing.T) *fakePlatform {
+	t.Helper()
+	r, err := model.NewRelease(1, "e", model.Configuration{
+		Inventory: model.Inventory{Services: []model.Service{{Name: "orders", Connections: 9, TargetSlots: true}}},
+		Rules: model.Rules{Routes: []model.Route{{
+			Name: "r", Host: "orders.example", PathPrefix: "/o/", Service: "orders", Class: model.Action,
+			TimeoutMillis: 2000, MaxAttempts: 2, HedgeAfterMillis: -1,
+		}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
+}
+
+// start starts a hosted node, which the test has to stop.
+func (h *fakePlatform) start(t *testing.T, id ident.NodeID) (*Node, *conf.Settings) {
+	t.Helper()
+	s, err := conf.Parse(`Node = "` + string(id) + `"
+FailureDomain = "d"
+Region = "r"
+Service = "orders"
+Platform = "rows"
+CallerAddress = "127.0.0.1:0"
+AdminAddress = "127.0.0.1:0"
+PeerAddress = "127.0.0.1:0"
+ReadyAddress = "127.0.0.1:0"
+PlatformURL = "http://127.0.0.1:1"
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := NewHosted(Hosted{
+		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Endpoint: func(c Control) Endpoint {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.controls = append(h.controls, c)
+			return noopEndpoint{}
+		},
+	}, h.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return n, &s
+}
