End a planned stop before the platform kills the process

A node took requests for 2.5 s after SIGTERM and finished them until 5.5 s, whatever time the platform left it. Where that is shorter, the process was killed while it still took requests: they were passed on and cut without an answer, among them such as may not be repeated. Where it is longer, requests were cut early. At the end of the stop, requests in flight lost their connections without a verdict, and while the target finished its requests, the calls that these still made were refused.

core/stop now derives both times from grace-s. A request that is not expected to end in time is refused as not run, what is in flight at the end is answered with what is known, and calls of running requests are served until the gate is empty.

TestEndOfDrainAnswersCallers and TestDrainServesCallsOfRunningRequests fail without their changes.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -82,7 +82,7 @@
 // serve reads requests and starts their handlers until the connection ends.
 func (c *connection) serve() {
 	defer c.server.remove(c)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.ctx)
 	var wg conc.WaitGroup
 	answered := make(chan struct{})
 	wg.Go(func() {
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -58,7 +58,10 @@
 
 		// closing makes each connection close once all its requests are answered.
 		closing atomic.Bool
-		group   conc.WaitGroup
+		// ctx is the parent of the contexts of all requests; cancel ends it. Serve sets both.
+		ctx    context.Context
+		cancel context.CancelCauseFunc
+		group  conc.WaitGroup
 
 		// mu guards the following fields.
 		mu       sync.Mutex
@@ -80,6 +83,7 @@
 	s.listener = l
 	if s.connections == nil {
 		s.connections = make(map[*connection]struct{})
+		s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	}
 	s.mu.Unlock()
 	for {
@@ -112,6 +116,17 @@
 	s.closing.Store(true)
 }
 
+// Cancel ends the contexts of all requests with a cause, without closing their
+// connections, so that their handlers can still respond.
+func (s *Server) Cancel(cause error) {
+	s.mu.Lock()
+	cancel := s.cancel
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel(cause)
+	}
+}
+
 // CloseIdle closes the connections on which no request is unanswered or being read.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"runtime/debug"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"hickoryrail/core/admit"
@@ -17,6 +18,7 @@
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/spread"
+	"hickoryrail/core/stop"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/frame"
@@ -74,6 +76,9 @@
 	// adapter provides the parts that depend on the platform's protocols.
 	Hosted struct {
 		Settings conf.Settings
+		// KillMillis is the time after the request to stop at which the platform kills the
+		// process; 0 if it does not.
+		KillMillis clock.Millis
 		// Retries bounds the repeated arrivals at targets over all nodes.
 		Retries   retry.WindowBudget
 		Dialect   proxy.Dialect
@@ -228,10 +233,14 @@
 	}
 	<-ctx.Done()
 	n.stopping.Store(true)
-	n.logger.WithField("Node", string(n.settings.Node)).Info("node is asked to stop")
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.Settings.Stop.GraceMillis.Duration())
+	plan := stop.NewPlan(h.Settings.Stop.LameDuckMillis, h.Settings.Stop.GraceMillis, h.KillMillis)
+	n.logger.WithFields(log.Fields{
+		"Node": string(n.settings.Node), "LameDuckMillis": float64(plan.LameDuckMillis), "FinishMillis": float64(plan.FinishMillis),
+	}).Info("node is asked to stop")
+	n.ingress.BeginStop(plan)
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), plan.FinishMillis.Duration())
 	defer cancel()
-	n.lameDuck(grace, h.Settings.Stop.LameDuckMillis)
+	n.lameDuck(grace, plan.LameDuckMillis)
 	if err := n.Stop(grace); !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -50,10 +50,12 @@
 	return func(*kernel.Kernel) error { return open() }
 }
 
-// drainRequests lets the requests in flight finish: first those of local callers, then
-// those of other nodes at the gate.
+// drainRequests lets the requests in flight finish: first those that run at the local
+// target, whose calls the ingress still serves, then those of local callers.
 func (n *Node) drainRequests(ctx context.Context) error {
-	return errors.Join(n.ingress.Drain(ctx), n.gateway.Drain(ctx))
+	n.ingress.BeginDrain()
+	gateErr := n.gateway.Drain(ctx)
+	return errors.Join(gateErr, n.ingress.Drain(ctx))
 }
 
 // Start starts the node and returns once every server listens.
--- a/io/proxy/drain_test.go
+++ b/io/proxy/drain_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hickoryrail/core/result"
+	"hickoryrail/core/stop"
+	"hickoryrail/io/wire"
 )
 
 // TestDrainCutsNoRequest guards against a stop that interrupts a request in flight,
@@ -103,3 +108,96 @@
 	is.Equal(target.maxOpen, int64(2)) // read without mu, since the last handler has returned
 	is.Equal(g.Announce(Announcement{Target: "target-0", Address: target.address, Slots: 2, Connections: 2}), ErrDraining)
 }
+
+// TestDrainServesCallsOfRunningRequests guards against a drain that lets a request at the
+// local target finish but refuses the calls that this request still makes, so that it
+// fails although it was accepted.
+func TestDrainServesCallsOfRunningRequests(t *testing.T) {
+	is := is.New(t)
+	local, remote := newFakeTarget(t), newFakeTarget(t)
+	f := newFleet(t, 4, local, remote)
+	in := newIngress(t, f)
+	in.Gateway = f.gateways["node-0"]
+	in.Dialect.RequestIDHeader = "X-Id"
+	in.Dialect.ParentID = func(id []byte) []byte { return bytes.TrimSuffix(id, []byte(".call")) }
+	parent := encode(wire.Call{Request: &wire.Request{
+		ID: "parent-1", CallerID: "parent", Gate: gateIncarnation, Target: "target-0", Attempt: 1,
+		RemainingMillis: 20000, Method: "POST", URI: []byte("/order/hold"), Body: []byte("held"),
+	}})
+	ended := make(chan []byte, 1)
+	go func() { ended <- in.Gateway.OnCall(context.Background(), "other", parent) }()
+	for local.open.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	in.Gateway.DrainTarget()
+	in.BeginDrain()
+	go func() { drained <- in.Gateway.Drain(context.Background()) }()
+	resp, body, err := send(&http.Client{}, in, "/check/echo", "call", "X-Id", "parent.call")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "call")
+	resp, _, err = send(&http.Client{}, in, "/check/echo", "other", "X-Id", "another.call")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	close(local.release)
+	is.NoErr(<-drained)
+	a, err := wire.DecodeAnswer(<-ended, 1<<20)
+	is.NoErr(err)
+	is.Equal(a.Response.Verdict, result.Ran)
+	is.NoErr(in.Drain(context.Background()))
+}
+
+// TestEndOfDrainAnswersCallers guards against a stop that closes the connections of
+// requests that outlast it, so that their callers learn nothing, and against a request
+// that did not run and is not said so.
+func TestEndOfDrainAnswersCallers(t *testing.T) {
+	is := is.New(t)
+	target := newFakeTarget(t)
+	f := newFleet(t, 1, target)
+	in := newIngress(t, f)
+	in.Gateway = f.gateways["node-0"]
+	in.Self = "node-0" // the target is that of the node that stops
+	verdicts := make(map[string]chan string)
+	for i, body := range []string{"runs", "waits"} {
+		verdicts[body] = make(chan string, 1)
+		go func() {
+			resp, _, err := send(&http.Client{}, in, "/order/hold", body)
+			if err != nil {
+				verdicts[body] <- err.Error()
+				return
+			}
+			verdicts[body] <- resp.Header.Get(headerVerdict)
+		}()
+		for int(target.open.Load())+in.Gateway.Load().Queued <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(in.Drain(ctx) != nil)
+	is.Equal(<-verdicts["runs"], "MayHaveRun")
+	is.Equal(<-verdicts["waits"], "NotRun")
+	is.Equal(target.runCount("waits"), 0)
+}
+
+// TestStopRefusesWhatDoesNotFit guards against a stopping node that accepts a request
+// which it expects to outlast the stop.
+func TestStopRefusesWhatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	target := newFakeTarget(t)
+	in := newIngress(t, newFleet(t, 4, target))
+	for range 100 {
+		_, _, err := send(http.DefaultClient, in, "/order/slow?ms=20", "usual")
+		is.NoErr(err)
+	}
+	in.BeginStop(stop.NewPlan(10, 5000, 0))
+	resp, _, err := send(http.DefaultClient, in, "/order/echo", "fits")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	in.BeginStop(stop.NewPlan(10, 10, 0))
+	resp, _, err = send(http.DefaultClient, in, "/order/echo", "does not fit")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(headerVerdict), "NotRun")
+	is.Equal(target.runCount("does not fit"), 0)
+}
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -224,7 +224,7 @@
 		Reason: resp.Reason, Took: now - (c.deadline - c.timeout),
 	}
 	if c.ctx.Err() != nil {
-		d.Reason = reasonGaveUp
+		d.Reason = leftReason(c.ctx)
 	}
 	in.Log.Record(d)
 }
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
@@ -39,13 +38,6 @@
 	// maxCallerIDBytes bounds the caller's request id as it appears in request ids
 	// and logs.
 	maxCallerIDBytes = 64
-	// quietPeriodMillis is the time without open connections after which a drain
-	// closes the listener. A caller whose connection was closed with its response
-	// connects again at once, and closing the listener resets connections that it has
-	// not accepted.
-	quietPeriodMillis = 500 * clock.Millis(1)
-	// drainPollMillis is the interval at which a drain checks for open connections.
-	drainPollMillis = 2 * clock.Millis(1)
 )
 
 // Reasons of the ingress.
@@ -120,6 +112,8 @@
 		idPrefix string
 		sequence atomic.Uint64
 		draining atomic.Bool
+		// stop is the plan of the planned stop in progress; nil without one.
+		stop atomic.Pointer[plannedStop]
 		// openedAt is the instant of Open.
 		openedAt clock.Millis
 		// inFlight counts handlers that have not returned.
@@ -245,45 +239,6 @@
 	return <-served
 }
 
-// Drain answers new requests as not run and closes their connections, finishes the
-// requests in flight and then stops the server. Callers with an open connection get
-// LingerMillis to use it once more: closing it earlier could coincide with a new
-// request, whose caller would get no verdict.
-func (in *Ingress) Drain(ctx context.Context) error {
-	in.draining.Store(true)
-	in.server.BeginClose()
-	t := time.NewTicker(drainPollMillis.Duration())
-	defer t.Stop()
-	lingerUntil := time.Now().Add(in.LingerMillis.Duration())
-	quietSince := time.Now()
-	for in.inFlight.Load() > 0 || time.Now().Before(lingerUntil) && time.Since(quietSince) < quietPeriodMillis.Duration() {
-		if in.server.OpenConnections() > 0 {
-			quietSince = time.Now()
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
-	}
-	if err := in.server.Close(ctx); err != nil {
-		return err
-	}
-	settled := make(chan struct{})
-	var group conc.WaitGroup
-	group.Go(func() {
-		in.background.Wait()
-		close(settled)
-	})
-	select {
-	case <-settled:
-		group.Wait()
-		return nil
-	case <-ctx.Done():
-		return ctx.Err() // the claims of outcomes that are not stored yet remain
-	}
-}
-
 // handle serves one request. Everything that attempts need is copied out of ctx,
 // because fasthttp reuses its memory once handle returns.
 func (in *Ingress) handle(callerCtx context.Context, ctx *fasthttp.RequestCtx) {
@@ -295,7 +250,7 @@
 		in.reply(ctx, notRun(reasonGaveUp), now)
 		return
 	}
-	if in.draining.Load() {
+	if in.draining.Load() && !in.isInnerCall(ctx) {
 		in.reply(ctx, notRun(reasonDraining), now)
 		return
 	}
@@ -304,6 +259,9 @@
 		return
 	}
 	c, refusal := in.newCall(callerCtx, ctx, now)
+	if refusal == nil && !in.fitsStop(c, now) {
+		refusal = notRun(reasonStopSoon)
+	}
 	if refusal != nil {
 		in.recordRefusal(ctx, refusal, now)
 		in.reply(ctx, refusal, now)
--- a/io/proxy/left.go
+++ b/io/proxy/left.go
@@ -57,8 +57,11 @@
 
 // leftReason returns the reason of a request for which hasLeft returned true.
 func leftReason(ctx context.Context) string {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return reasonDeadline
+	case errors.Is(context.Cause(ctx), errStopped):
+		return reasonStopped
 	}
 	return reasonGaveUp
 }
--- a/io/proxy/limits.go
+++ b/io/proxy/limits.go
@@ -20,6 +20,8 @@
 const (
 	reasonDeadline  = "deadline passed"
 	reasonDraining  = "node is draining"
+	reasonStopSoon  = "node stops before the request is expected to end"
+	reasonStopped   = "node stopped before the request ended"
 	reasonMalformed = "message is malformed"
 )
 
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -173,8 +173,8 @@
 
 // call sends r once and returns the target's complete response or a *result.Error. If
 // r is idempotent, it ends when ctx is done; otherwise it waits for the response
-// until the deadline, because an interrupted exchange would lose the outcome of an
-// action that runs.
+// until the deadline or the end of the node, because an interrupted exchange would lose
+// the outcome of an action that runs.
 func (t *target) call(ctx context.Context, now, deadline clock.Millis, r *wire.Request) (*wire.Response, error) {
 	left := (deadline - now).Duration()
 	if left <= 0 {
@@ -227,13 +227,14 @@
 	}
 	defer fasthttp.ReleaseRequest(x.req)
 	defer fasthttp.ReleaseResponse(x.resp)
-	stop := func() bool { return true }
-	if r.Idempotent {
-		stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	}
+	stop := context.AfterFunc(ctx, func() {
+		if r.Idempotent || errors.Is(context.Cause(ctx), errStopped) {
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		}
+	})
 	clean, err := t.roundTrip(&x, r)
 	// If the AfterFunc has already run, the connection has a deadline in the past.
-	clean = stop() && clean
+	clean = (stop() || !r.Idempotent) && clean
 	if err != nil {
 		return nil, false, x.resultError(ctx, err)
 	}
@@ -381,7 +382,7 @@
 	case !time.Now().Before(x.deadline):
 		return result.NewError(result.MayHaveRun, reasonDeadline, err)
 	case ctx.Err() != nil:
-		return result.NewError(result.MayHaveRun, reasonGaveUp, err)
+		return result.NewError(result.MayHaveRun, leftReason(ctx), err)
 	case errors.Is(err, errSeveralIDs):
 		return result.NewError(result.MayHaveRun, reasonUnidentified, err)
 	case errors.Is(err, errNoLength):
