io/proxy: take no answer without an id on a kept connection

An answer that names no request was passed on as that of the request in flight, also where the connection had carried earlier requests. A late second answer to one of these would reach the next caller. The platform's targets name the request in each answer, so such an answer now ends the attempt as one that may have run and closes the connection. On a new connection there is no earlier request, and it is still accepted.

TestAnswerWithoutIDOnKeptConnection fails on the code before.

--- a/io/proxy/owner.go
+++ b/io/proxy/owner.go
@@ -39,6 +39,12 @@
 	return ownerRequest
 }
 
+// mayBeLate reports whether a response that names no request may be a late one to an
+// earlier request on the connection. The target names the requests that have an id.
+func (x *exchange) mayBeLate() bool {
+	return !x.first && len(x.id) > 0
+}
+
 // identify sets owned and reports whether the response belongs to another request. Only
 // the first response on a connection surely belongs to a request without an id. A response
 // that names no request is not taken for another's.
--- a/io/proxy/refusal_test.go
+++ b/io/proxy/refusal_test.go
@@ -188,6 +188,29 @@
 	}
 }
 
+// TestAnswerWithoutIDOnKeptConnection guards against a late second answer to an earlier
+// request that names no request and is passed on as the answer to the present one. On a
+// new connection there is no earlier request.
+func TestAnswerWithoutIDOnKeptConnection(t *testing.T) {
+	for _, status := range []string{"200 OK", "500 Error", "404 Missing"} {
+		is := is.New(t)
+		withoutID := "HTTP/1.1 " + status + "\r\nStamp: s\r\nContent-Length: 3\r\n\r\nold"
+		s := newTurnTarget(t, func(connection, turn int) string {
+			if connection == 0 && turn == 1 || connection == 1 && turn == 0 {
+				return withoutID
+			}
+			return answerOK
+		})
+		g := s.gateway(t)
+		is.Equal(g.Forward(context.Background(), customRequest(1, false)).Verdict, result.Ran)
+		resp := g.Forward(context.Background(), customRequest(2, false))
+		is.Equal(resp.Verdict, result.MayHaveRun)
+		is.Equal(resp.Reason, reasonUnidentified)
+		is.Equal(g.Forward(context.Background(), customRequest(3, false)).Verdict, result.Ran)
+		is.Equal(s.seen(), []string{"0/0", "0/1", "1/0"})
+	}
+}
+
 // TestRefusalOfEarlierAttempt guards against the refusal of an earlier attempt, written
 // once more, that is believed for a later attempt of the same request: both attempts
 // have the request's id.
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, false, x.resultError(ctx, err)
 	}
-	if !x.owned && t.dialect.statesNotRun(x.resp.StatusCode(), x.resp.Header.Peek) {
+	if !x.owned && (x.mayBeLate() || t.dialect.statesNotRun(x.resp.StatusCode(), x.resp.Header.Peek)) {
 		return nil, false, result.NewError(result.MayHaveRun, reasonUnidentified, nil)
 	}
 	if t.noticed != nil && t.dialect.Notice != nil {
