io/httpd: accept the connections that callers have opened before closing

Closing the listener reset the connections that were not accepted yet, with the requests on them; their callers got no answer. The check for such bytes must not wait for the read of the connection that is in progress, so io/sock looks at the socket through Control.

TestCloseAnswersWaitingConnections fails on the code before. The handler of TestCloseFinishesRequests ends now also after a failed check.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -255,12 +255,12 @@
 	return true
 }
 
-// closeIfIdle closes the connection if no request is unanswered and none is being
-// read.
+// closeIfIdle closes the connection if no request is unanswered, none is being read and
+// none has arrived.
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 || c.reading || c.closing {
+	if c.unanswered > 0 || c.reading || c.closing || c.probe.Peek() == sock.Data {
 		return
 	}
 	c.closing = true
--- a/io/httpd/left_test.go
+++ b/io/httpd/left_test.go
@@ -26,6 +26,19 @@
 	return l.Listener.Accept()
 }
 
+// heldTCPListener is a TCP listener that accepts no connection until it is released.
+type heldTCPListener struct {
+	*net.TCPListener
+	// accepting receives a value with each call of Accept.
+	accepting, released chan struct{}
+}
+
+func (l heldTCPListener) Accept() (net.Conn, error) {
+	l.accepting <- struct{}{}
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
 // TestCallerLeftBeforeRead guards against a request that starts although its caller
 // closed or reset the connection before the request was read.
 func TestCallerLeftBeforeRead(t *testing.T) {
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,7 +68,9 @@
 		mu       sync.Mutex
 		listener net.Listener
 		// closed is set by Close; a later Serve returns at once.
-		closed      bool
+		closed bool
+		// accepted is closed when Serve accepts no more connections; nil before Serve.
+		accepted    chan struct{}
 		connections map[*connection]struct{}
 	}
 )
@@ -80,7 +83,8 @@
 		s.mu.Unlock()
 		return l.Close()
 	}
-	s.listener = l
+	s.listener, s.accepted = l, make(chan struct{})
+	defer close(s.accepted)
 	if s.connections == nil {
 		s.connections = make(map[*connection]struct{})
 		s.ctx, s.cancel = context.WithCancelCause(context.Background())
@@ -89,7 +93,7 @@
 	for {
 		conn, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded) && s.closing.Load():
 			return nil
 		case err != nil:
 			time.Sleep(retryInterval)
@@ -110,70 +114,6 @@
 	return len(s.connections)
 }
 
-// BeginClose makes every connection close once all its requests are answered. New
-// connections close after one response.
-func (s *Server) BeginClose() {
-	s.closing.Store(true)
-}
-
-// Cancel ends the contexts of all requests with a cause, without closing their
-// connections, so that their handlers can still respond.
-func (s *Server) Cancel(cause error) {
-	s.mu.Lock()
-	cancel := s.cancel
-	s.mu.Unlock()
-	if cancel != nil {
-		cancel(cause)
-	}
-}
-
-// CloseIdle closes the connections on which no request is unanswered or being read.
-func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.connections {
-		c.closeIfIdle()
-	}
-}
-
-// Close closes the listener and all idle connections. It waits until the requests on
-// the other connections are answered or ctx ends, and then closes the rest.
-func (s *Server) Close(ctx context.Context) error {
-	s.BeginClose()
-	s.mu.Lock()
-	s.closed = true
-	l := s.listener
-	s.mu.Unlock()
-	if l != nil {
-		if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-			return err
-		}
-	}
-	t := time.NewTicker(retryInterval)
-	defer t.Stop()
-	for s.OpenConnections() > 0 {
-		s.CloseIdle()
-		select {
-		case <-t.C:
-			continue
-		case <-ctx.Done():
-		}
-		s.closeAll()
-		break
-	}
-	s.group.Wait()
-	return ctx.Err()
-}
-
-// closeAll closes every connection.
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.connections {
-		_ = c.conn.Close()
-	}
-}
-
 // remove removes a closed connection from connections.
 func (s *Server) remove(c *connection) {
 	s.mu.Lock()
--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -169,6 +170,8 @@
 		close(entered)
 		<-release
 	})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish() // the server waits for its handlers, also after a failed check
 	busy, b := f.dial(t)
 	_, idle := f.dial(t)
 	_, err := io.WriteString(busy, get("/"))
@@ -182,12 +185,45 @@
 	}()
 	_, err = idle.ReadByte()
 	is.Equal(err, io.EOF)
-	close(release)
+	finish()
 	_, resp := readResponse(t, b)
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.NoErr(<-closed)
 }
 
+// TestCloseAnswersWaitingConnections guards against a Close that resets connections which
+// callers have opened, with their requests, because they are not accepted yet.
+func TestCloseAnswersWaitingConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	held := heldTCPListener{TCPListener: l.(*net.TCPListener), accepting: make(chan struct{}, 64), released: make(chan struct{})}
+	f := &fixture{address: l.Addr().String(), Server: &Server{
+		Handler: func(context.Context, *fasthttp.RequestCtx) {},
+		Bounds:  func() Bounds { return Bounds{HeaderBytes: 4096, BodyBytes: 1 << 20} },
+	}}
+	var answers []*bufio.Reader
+	for range 8 {
+		c, b := f.dial(t)
+		_, err := io.WriteString(c, get("/"))
+		is.NoErr(err)
+		answers = append(answers, b)
+	}
+	served, closed := make(chan error, 1), make(chan error, 1)
+	go func() { served <- f.Serve(held) }()
+	<-held.accepting
+	go func() { closed <- f.Close(t.Context()) }()
+	time.Sleep(acceptRestInterval / 10) // Close has begun
+	close(held.released)
+	for _, b := range answers {
+		_, resp := readResponse(t, b)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(resp.Close)
+	}
+	is.NoErr(<-closed)
+	is.NoErr(<-served)
+}
+
 // TestMalformed guards against a malformed request that gets no response, and against
 // further use of its connection.
 func TestMalformed(t *testing.T) {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -153,7 +153,11 @@
 	if err := in.metrics.register(in.Registry); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", in.Listen)
+	address, err := net.ResolveTCPAddr("tcp", in.Listen)
+	if err != nil {
+		return err
+	}
+	listener, err := net.ListenTCP("tcp", address)
 	if err != nil {
 		return err
 	}
--- a/io/proxy/linger.go
+++ b/io/proxy/linger.go
@@ -20,7 +20,7 @@
 type (
 	// lingerListener accepts connections that can be closed without a reset.
 	lingerListener struct {
-		net.Listener
+		*net.TCPListener
 	}
 
 	// lingerConn is a caller's connection.
@@ -34,15 +34,11 @@
 
 // Accept returns the next connection.
 func (l lingerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	return &lingerConn{TCPConn: tcp}, nil
+	return &lingerConn{TCPConn: c}, nil
 }
 
 // linger makes Close of c read the rest of the request first, so that the caller gets
--- a/io/sock/probe.go
+++ b/io/sock/probe.go
@@ -47,10 +47,8 @@
 		return Idle
 	}
 	state := Ended
-	err := p.raw.Read(func(fd uintptr) bool {
-		state = peek(int(fd))
-		return true
-	})
+	// Control, unlike Read, does not wait for a Read of the connection that is in progress.
+	err := p.raw.Control(func(fd uintptr) { state = peek(int(fd)) })
 	if err != nil && state != Data {
 		return Ended
 	}
