core/spread: read the source when neighbours do not provide a newer release

A node whose fetches all time out excludes each neighbour for 2.5 to 7.5 s and asked nobody else.

A hosted node that has known of a newer release for 1 to 1.5 s and got none from its neighbours now reads the source. TestLaggingNodeReadsSource fails on the code before (no read in 10 s).

--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -44,6 +44,10 @@
 		// NeedSourceDelayMillis is the time that a node waits for its peers to provide a
 		// release before it reads the source; the node adds jitter.
 		NeedSourceDelayMillis clock.Millis
+		// LagMillis is the time for which a node may know of a newer release than its own
+		// without getting one from its neighbours, before it reads the source; the node adds
+		// jitter. 0 is for nodes that do not read the source themselves.
+		LagMillis clock.Millis
 		// SourceTimeoutMillis is the time that a node without a release waits for its own
 		// read of the source before it fetches from neighbours. 0 is for nodes that do not
 		// read the source themselves.
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -64,6 +64,9 @@
 		// needSourceSince is when the wait for NeedSource began, which may lie ahead because
 		// of the jitter; 0 if the node is ready or a peer can provide a release.
 		needSourceSince clock.Millis
+		// lagSince is when the node first knew of a newer release than the held one, which
+		// may lie ahead because of the jitter; 0 if it knows of none.
+		lagSince clock.Millis
 	}
 
 	// peer is the state of a neighbour.
@@ -223,7 +226,7 @@
 		n.recent = slices.Delete(n.recent, 0, max(0, len(n.recent)-n.config.MaxRecent))
 	}
 	n.held, n.heldFrom, n.heldBody = r, from, nil
-	n.fetch, n.sourceDeadline = fetch{}, 0
+	n.fetch, n.sourceDeadline, n.lagSince = fetch{}, 0, 0
 	out := n.apply()
 	return append(out, n.Tick(now)...)
 }
@@ -255,9 +258,27 @@
 	n.expireFetch(now)
 	out := n.announceDue(now)
 	out = append(out, n.startFetch(now)...)
+	out = append(out, n.readIfLagging(now)...)
 	return append(out, n.needSource(now)...)
 }
 
+// readIfLagging requests a read of the source if for LagMillis, with jitter, the node has
+// known of a newer release without getting one: its neighbours may be slow or unreachable,
+// all at the same time, while the source is not.
+func (n *Node) readIfLagging(now clock.Millis) []Action {
+	wait := n.config.LagMillis
+	switch newest := n.HighestSeen(); {
+	case wait == 0 || n.held.Version == 0 || newest <= n.held.Version:
+		n.lagSince = 0
+	case n.lagSince == 0:
+		n.lagSince = now + n.jitter(wait)/2 - wait/4
+	case now-n.lagSince >= wait:
+		n.lagSince = 0
+		return []Action{{Kind: NeedSource, Version: newest}}
+	}
+	return nil
+}
+
 // needSource requests a read of the source if for NeedSourceDelayMillis, with jitter, the
 // node has had no release at or above the floor and no peer has held one.
 func (n *Node) needSource(now clock.Millis) []Action {
--- a/core/spread/node_test.go
+++ b/core/spread/node_test.go
@@ -213,6 +213,61 @@
 	is.Equal(second[0].To, ident.NodeID("c"))
 }
 
+// TestLaggingNodeReadsSource guards against a node that knows of a newer release for
+// seconds and does not have it, because all of its neighbours answer too slowly. A release
+// must be in force within 2 s, of which the first half is left to the neighbours.
+func TestLaggingNodeReadsSource(t *testing.T) {
+	is := is.New(t)
+	config := DefaultConfig()
+	config.LagMillis = clock.Second
+	n := New(config, rand.New(rand.NewPCG(1, 1)))
+	n.SetFloor(0, 0)
+	n.SourceHead(0, 1, release(t, 1).Digest)
+	n.SourceRelease(0, release(t, 1))
+	n.SetNeighbours(0, []Neighbour{{Node: "b"}, {Node: "c"}})
+	newer := release(t, 2)
+	read := clock.Millis(0)
+	for now := clock.Millis(100); now < 10*clock.Second; now += 100 {
+		var actions []Action
+		if now == 100 {
+			actions = n.Receive(now, "b", Message{Kind: Announce, Version: 2, Digest: newer.Digest})
+		}
+		actions = append(actions, n.Tick(now)...)
+		if len(only(NeedSource, actions)) > 0 {
+			read = now
+			break
+		}
+	}
+	is.True(read >= 800 && read <= 1800)
+	n.SourceHead(read, 2, newer.Digest)
+	n.SourceRelease(read, newer)
+	is.Equal(n.Applied(), ident.Version(2))
+	for now := read; now < 10*clock.Second; now += 100 {
+		is.Equal(len(only(NeedSource, n.Tick(now))), 0) // it has the newest release
+	}
+}
+
+// TestFetchingNodeDoesNotReadSource guards against a node that reads the source although
+// its neighbours send it one release after the other: in a large fleet, every change would
+// cost as many reads as there are nodes.
+func TestFetchingNodeDoesNotReadSource(t *testing.T) {
+	is := is.New(t)
+	config := DefaultConfig()
+	config.LagMillis = clock.Second
+	n := New(config, rand.New(rand.NewPCG(1, 1)))
+	n.SetFloor(0, 0)
+	n.SourceHead(0, 1, release(t, 1).Digest)
+	n.SourceRelease(0, release(t, 1))
+	n.SetNeighbours(0, []Neighbour{{Node: "b"}})
+	for v := ident.Version(2); v < 40; v++ {
+		now := clock.Millis(v) * 250
+		announced := n.Receive(now, "b", Message{Kind: Announce, Version: v + 1, Digest: release(t, v+1).Digest})
+		is.Equal(len(only(NeedSource, announced)), 0)
+		is.Equal(len(only(NeedSource, n.Receive(now+100, "b", snapshot(release(t, v))))), 0) // one release behind
+		is.Equal(len(only(NeedSource, n.Tick(now+200))), 0)
+	}
+}
+
 // TestBadDeltaLeadsToSnapshot guards against a node that fetches the same invalid delta
 // forever.
 func TestBadDeltaLeadsToSnapshot(t *testing.T) {
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -62,6 +62,9 @@
 	// hostedFetchTimeoutMillis is the timeout of a fetch from a neighbour, which may have
 	// stopped. Several fetches fit into the time in which a release must be in force.
 	hostedFetchTimeoutMillis = 500 * clock.Millis(1)
+	// hostedLagMillis is the LagMillis of a hosted node: half of the time in which a
+	// release must be in force.
+	hostedLagMillis = 1 * clock.Second
 	// stopAdmitMillis is how long the gate of a stopping node still admits calls after
 	// the announcement of the stop, for nodes that have not received it yet.
 	stopAdmitMillis = 500 * clock.Millis(1)
@@ -181,6 +184,7 @@
 func (n *Node) wireHostedFleet(random *rand.Rand) {
 	config := spread.DefaultConfig()
 	config.SourceTimeoutMillis, config.FetchTimeoutMillis = hostedSourceTimeoutMillis, hostedFetchTimeoutMillis
+	config.LagMillis = hostedLagMillis
 	n.fleet = &fleet{
 		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway,
 		log: n.decisions, service: n.settings.Service, metrics: n.metrics,
