Replace connections between nodes when a probe is not answered

Control messages between nodes went on over connections that had turned silent: only calls are watched by the stall detector, and a node sent its messages on any connection that the other node had dialed, also on an old one after that node had dialed again. Releases then reached it only when the membership had taken its neighbours for dead.

Of several accepted connections the newest is used.

--- a/core/member/message.go
+++ b/core/member/message.go
@@ -89,6 +89,9 @@
 		// node can carry the message.
 		Address string
 		Message Message
+		// Fresh asks to send on a new connection, because the open ones to the node may be
+		// silent.
+		Fresh bool
 	}
 )
 
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -89,8 +89,9 @@
 	return out
 }
 
-// checkProbes requests indirect probes of members that did not answer in time, and
-// suspects members that did not answer those either. It also drops expired relays.
+// checkProbes probes members that did not answer in time once more, on a new connection
+// and indirectly, and suspects members that did not answer that either. It also drops
+// expired relays.
 func (t *Table) checkProbes(now clock.Millis) []Action {
 	var out []Action
 	for _, m := range t.ordered {
@@ -102,6 +103,9 @@
 		switch {
 		case !p.indirect && waited >= t.config.TimeoutMillis:
 			p.indirect = true
+			again := t.send(Probe, m, p.sequence)
+			again.Fresh = true
+			out = append(out, again)
 			out = append(out, t.requestIndirectProbes(m, p.sequence)...)
 		case waited >= t.config.TimeoutMillis+t.config.IndirectMillis:
 			delete(t.probes, m.record.Node)
--- a/io/frame/call.go
+++ b/io/frame/call.go
@@ -118,6 +118,30 @@
 	return true
 }
 
+// Renew makes the following messages and calls to a node use a new connection, because the
+// open ones may be silent. Calls in flight stay on theirs.
+func (t *Transport) Renew(to ident.NodeID) {
+	t.mu.Lock()
+	for s := range t.accepted {
+		if s.node == to {
+			s.suspect = true
+		}
+	}
+	t.mu.Unlock()
+	l := t.link(to)
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	earlier := l.current
+	l.current = nil
+	l.mu.Unlock()
+	if earlier != nil {
+		t.metrics.renewed.Inc()
+		earlier.retire()
+	}
+}
+
 // deliverControl counts a received control message and passes it to OnControl.
 func (t *Transport) deliverControl(from ident.NodeID, body []byte) {
 	t.metrics.controlReceived.Add(uint64(lengthBytes + headerBytes + len(body)))
--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -34,6 +34,9 @@
 		waiting map[callID]chan message
 		// failure is the reason for the end of the connection; it is set once.
 		failure error
+		// retired is set once the connection gets no more calls; it then ends with its
+		// last one.
+		retired bool
 	}
 
 	// link is the state for sending to one node: the connection for new calls and
@@ -70,7 +73,7 @@
 	// errWithdrawn reports a frame that was not sent because its ctx ended.
 	errWithdrawn = errors.New("caller left before the request was sent")
 	// errReplaced reports a connection that was closed because its node has another
-	// address now.
+	// address now, or because it may be silent.
 	errReplaced = errors.New("connection was replaced")
 )
 
@@ -112,8 +115,23 @@
 // forget removes a call whose caller no longer waits for an answer.
 func (c *connection) forget(id callID) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.waiting, id)
+	done := c.retired && len(c.waiting) == 0
+	c.mu.Unlock()
+	if done {
+		c.fail(errReplaced)
+	}
+}
+
+// retire closes the connection once no call waits for an answer on it.
+func (c *connection) retire() {
+	c.mu.Lock()
+	c.retired = true
+	done := len(c.waiting) == 0
+	c.mu.Unlock()
+	if done {
+		c.fail(errReplaced)
+	}
 }
 
 // fail closes the connection, once, with err as the reason; the calls on it end
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -26,6 +26,11 @@
 	// ctx ends when the connection ends.
 	ctx context.Context
 
+	// number is the position of the connection in the order of acceptance, and suspect is
+	// set once the connection may be silent; Transport.mu guards both.
+	number  uint64
+	suspect bool
+
 	// writing serializes the writes of frames.
 	writing sync.Mutex
 
@@ -79,6 +84,8 @@
 		t.mu.Unlock()
 		return
 	}
+	t.acceptedCount++
+	s.number = t.acceptedCount
 	t.accepted[s] = struct{}{}
 	t.mu.Unlock()
 	defer func() {
@@ -187,14 +194,17 @@
 	return err
 }
 
-// acceptedFrom returns an open connection that the node dialed, or nil.
+// acceptedFrom returns the newest open connection that the node dialed and that is not
+// suspected to be silent, or nil. A node that dials again has found its earlier
+// connections silent, or has lost them without a notice on this side.
 func (t *Transport) acceptedFrom(node ident.NodeID) *acceptedConnection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var newest *acceptedConnection
 	for s := range t.accepted {
-		if s.node == node {
-			return s
+		if s.node == node && !s.suspect && (newest == nil || s.number > newest.number) {
+			newest = s
 		}
 	}
-	return nil
+	return newest
 }
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -84,6 +84,8 @@
 		// dialed and accepted hold the open connections.
 		dialed   map[peer.ConnectionID]*connection
 		accepted map[*acceptedConnection]struct{}
+		// acceptedCount counts the connections that were ever accepted.
+		acceptedCount uint64
 	}
 )
 
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -218,6 +218,9 @@
 // gossip sends membership messages. The caller holds mu.
 func (f *fleet) gossip(actions []member.Action) {
 	for _, a := range actions {
+		if a.Fresh {
+			f.transport.Renew(a.To)
+		}
 		f.send(a.To, a.Address, wire.Control{Member: &a.Message})
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -99,6 +99,8 @@
 	Drain(ctx context.Context) error
 	Address() string
 	SendControl(to ident.NodeID, address string, body []byte)
+	// Renew makes the following control messages to a node use a new connection.
+	Renew(to ident.NodeID)
 	ControlTraffic() peer.Traffic
 	Echo(ctx context.Context, id peer.ConnectionID) error
 	CloseConnection(id peer.ConnectionID)
--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// Renew does nothing: a sender replaces a control connection itself on which no packet
+// arrives.
+func (t *Transport) Renew(ident.NodeID) {}
+
 // runSender sends queued messages until the queue has been empty for the idle timeout.
 func (t *Transport) runSender(s *sender) {
 	idle := time.NewTimer(t.Limits.IdleMillis.Duration())
