core/retry: bound the calls that retried requests make

Calls of retried requests were counted, but needed no permission.

They now take from the node's part of the bound, up to 95% of it, and are refused as not run beyond that. Retries keep to 70%, as before. TestWindowBudgetBoundsCallsOfRetries fails without the bound.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -225,17 +225,16 @@
 	return p.WindowBudget.Take(now, s.Route.Service)
 }
 
-// RecordCall counts a new call in the budget. repeated means that the call is made by a
-// request that was itself retried; it then counts as a repeated arrival in a WindowBudget.
-func (p *Policy) RecordCall(now clock.Millis, r model.Route, repeated bool) {
+// RecordCall counts a new call in the budget and reports whether it may be made. repeated
+// means that a request makes it which was itself retried; it then counts as a repeated
+// arrival in a WindowBudget, and is refused if that has no room.
+func (p *Policy) RecordCall(now clock.Millis, r model.Route, repeated bool) bool {
 	if p.WindowBudget == nil {
 		p.Budget.RecordCall(now)
-		return
+		return true
 	}
 	p.WindowBudget.RecordRequest(now, r.Service)
-	if repeated {
-		p.WindowBudget.RecordRepeat(now, r.Service)
-	}
+	return !repeated || p.WindowBudget.TakeCall(now, r.Service)
 }
 
 // finish returns the decision that ends a call without an answer.
--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -8,11 +8,13 @@
 const (
 	// windowBuckets is the number of buckets of a window.
 	windowBuckets = 10
-	// windowMargin is the fraction of the bound that is used. The rest allows for calls
-	// of repeated requests, which need no permission and of which some nodes make more
-	// than their part, for requests in transit, and for nodes that are not yet known to
-	// each other.
+	// windowMargin is the fraction of a node's part of the bound that its retries use. The
+	// rest allows for calls of repeated requests, of which some nodes make more than
+	// others, for requests in transit, and for nodes that are not yet known to each other.
 	windowMargin = 0.7
+	// callMargin is the fraction up to which calls of repeated requests are made. A request
+	// whose call is refused fails, so they may use more than retries.
+	callMargin = 0.95
 )
 
 type (
@@ -49,8 +51,19 @@
 	w.requests[w.bucket%(windowBuckets+1)]++
 }
 
-// Take reports whether a repeated arrival is allowed, and counts it if so.
+// Take reports whether a retry is allowed, and counts it if so.
 func (b *WindowBudget) Take(now clock.Millis, service ident.ServiceName) bool {
+	return b.take(now, service, windowMargin)
+}
+
+// TakeCall reports whether a request that was itself retried may make a call, which is a
+// repeated arrival at the service, and counts it if so.
+func (b *WindowBudget) TakeCall(now clock.Millis, service ident.ServiceName) bool {
+	return b.take(now, service, callMargin)
+}
+
+// take counts a repeated arrival if it is within the margin of the bound.
+func (b *WindowBudget) take(now clock.Millis, service ident.ServiceName, margin float64) bool {
 	w := b.window(now, service)
 	requests, repeats := 0, 0
 	for i := range w.requests {
@@ -59,7 +72,7 @@
 	}
 	// The oldest bucket may lie outside of the window.
 	requests -= w.requests[(w.bucket+1)%(windowBuckets+1)]
-	allowed := windowMargin * (b.Ratio*float64(requests) + b.Fixed/float64(max(b.Nodes, 1)))
+	allowed := margin * (b.Ratio*float64(requests) + b.Fixed/float64(max(b.Nodes, 1)))
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -67,13 +80,6 @@
 	return true
 }
 
-// RecordRepeat counts a repeated arrival that needs no further permission: a call made
-// by a request that was itself retried.
-func (b *WindowBudget) RecordRepeat(now clock.Millis, service ident.ServiceName) {
-	w := b.window(now, service)
-	w.repeats[w.bucket%(windowBuckets+1)]++
-}
-
 // window returns the counts of a service after clearing expired buckets.
 func (b *WindowBudget) window(now clock.Millis, service ident.ServiceName) *window {
 	if b.services == nil {
--- a/core/retry/windowbudget_test.go
+++ b/core/retry/windowbudget_test.go
@@ -84,8 +84,7 @@
 		for r := range requestsPerNode {
 			now := windowMillis * clock.Millis(r) / requestsPerNode
 			b.RecordRequest(now, "s")
-			if i%4 == 0 && r%100 < 35 {
-				b.RecordRepeat(now, "s")
+			if i%4 == 0 && r%100 < 35 && b.TakeCall(now, "s") {
 				repeats++
 			}
 			for b.Take(now, "s") {
@@ -96,16 +95,53 @@
 	is.True(float64(repeats) <= ratio*nodes*requestsPerNode+fixed)
 }
 
-// TestWindowBudgetRecordRepeat guards against calls of retried requests that are not
-// counted as repeated arrivals.
-func TestWindowBudgetRecordRepeat(t *testing.T) {
+// TestWindowBudgetBoundsCallsOfRetries guards against calls of retried requests without a
+// bound: a service that refuses half of its calls makes the requests fail that need them,
+// and every retry of those makes more calls. It plays the service that all requests of
+// half of the nodes call twice, while a third of these requests are retried ones.
+func TestWindowBudgetBoundsCallsOfRetries(t *testing.T) {
+	is := is.New(t)
+	const (
+		nodes, ratio, fixed = 30, 0.2, 30
+		requestsPerNode     = 80 // in a window
+		windowMillis        = 10 * clock.Second
+	)
+	requests, repeats, calls := 0, 0, 0
+	for i := range nodes {
+		b := &WindowBudget{Ratio: ratio, Fixed: fixed, WindowMillis: windowMillis, Nodes: nodes}
+		for r := range requestsPerNode {
+			now := windowMillis * clock.Millis(r) / requestsPerNode
+			b.RecordRequest(now, "s")
+			requests++
+			if i%2 == 0 && r%3 == 0 {
+				for range 2 {
+					b.RecordRequest(now, "s")
+					requests++
+					if b.TakeCall(now, "s") {
+						calls++
+					}
+				}
+			}
+			for b.Take(now, "s") {
+				repeats++
+			}
+		}
+	}
+	is.True(float64(repeats+calls) <= ratio*float64(requests)+fixed)
+	is.True(calls > 0)
+}
+
+// TestWindowBudgetTakeCall guards against calls of retried requests that are not counted as
+// repeated arrivals, and against retries that leave them no room.
+func TestWindowBudgetTakeCall(t *testing.T) {
 	is := is.New(t)
 	b := &WindowBudget{Ratio: 0, Fixed: 8.01 / windowMargin, WindowMillis: 10 * clock.Second, Nodes: 1}
 	for range 7 {
-		b.RecordRepeat(0, "s")
+		is.True(b.TakeCall(0, "s"))
 	}
 	is.True(b.Take(0, "s"))
 	is.True(!b.Take(0, "s"))
+	is.True(b.TakeCall(0, "s"))
 	is.True(b.Take(0, ident.ServiceName("other")))
 	is.True(b.Take(11*clock.Second+1, "s")) // the window has passed
 }
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -89,8 +89,11 @@
 	c.state = retry.CallState{Route: c.route, Deadline: c.deadline}
 	now := in.Clock.Now()
 	in.mu.Lock()
-	in.Policy.RecordCall(now, c.route, c.parentRepeated)
+	allowed := in.Policy.RecordCall(now, c.route, c.parentRepeated)
 	in.mu.Unlock()
+	if !allowed {
+		return notRun(retry.ReasonBudget)
+	}
 	for {
 		left := in.metrics.left.hasLeft(c.ctx, leftAttempt)
 		if left && failure != nil {
