core/admit: put urgent new requests before calls of less urgent ones

At a gate, every call that a running request makes went before all new requests.

The calls of a request now have the urgency of that request: before new requests of its class, behind those of more urgent classes, and at least every fourth start while one waits. TestUrgentRequestsBeforeCallsOfOthers and TestCallsOfOthersGetSlots fail with the former order and without the share. TestLateCallDoesNotWaitForLimit uses rank 3 for its new request, since 2 is now the rank of calls.

--- a/core/admit/action.go
+++ b/core/admit/action.go
@@ -16,6 +16,9 @@
 	ReasonFree = "free slot"
 	// ReasonQueued is a start from the queue.
 	ReasonQueued = "next in queue"
+	// ReasonInner is a start of a call of a running request ahead of more urgent new
+	// requests, because the share of such calls is due.
+	ReasonInner = "share of calls of running requests"
 	// ReasonAged is a start ahead of a higher-priority class, by the ageing bound.
 	ReasonAged = "class reached its ageing bound"
 	// ReasonShare is the start of an action because the share of actions is due.
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// InnerRank is the rank of a call that a running request makes. It goes before
-	// all new requests, since the request that makes it occupies a slot meanwhile.
-	InnerRank Rank = 0
-	// LastRank is the largest rank.
-	LastRank Rank = 7
-
 	// ReasonGoal is a refusal of a call that would miss its goal, when the queue
 	// already holds its maximum of such calls.
 	ReasonGoal = "expected wait exceeds the response-time goal"
@@ -28,9 +22,6 @@
 )
 
 type (
-	// Rank orders calls by urgency; the lower one goes first.
-	Rank uint8
-
 	// goalQueue is the queue of a gate with the order ByGoal, for sustained overload.
 	// If only the deadline bounds the wait, every call waits for most of its time
 	// under such a load, and all answers are late. Here a call waits only if it can
@@ -46,6 +37,8 @@
 		// averageRun is the moving average of each rank's run time; 0 until a call has
 		// finished.
 		averageRun [LastRank + 1]clock.Millis
+		// passed counts the starts since a call of a running request was passed over.
+		passed int
 	}
 )
 
@@ -58,7 +51,7 @@
 		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
 	case q.size() >= q.gate.QueueLength:
 		return append(actions, refuse(c.ID, ReasonFull))
-	case c.Rank != InnerRank && c.Goal > 0 && end > c.Goal:
+	case !c.Rank.IsInner() && c.Goal > 0 && end > c.Goal:
 		return q.pushLate(c, actions)
 	}
 	list := q.lists[c.Rank]
@@ -88,18 +81,43 @@
 
 // pop removes the call to start next and returns it with the reason of the choice.
 func (q *goalQueue) pop(clock.Millis) (Call, string) {
+	first, inner := -1, -1
 	for rank, list := range q.lists {
-		if len(list) > 0 {
-			c := list[0]
-			q.lists[rank] = slices.Delete(list, 0, 1)
-			return c, ReasonQueued
+		if len(list) == 0 {
+			continue
+		}
+		if first < 0 {
+			first = rank
+		}
+		if inner < 0 && Rank(rank).IsInner() {
+			inner = rank
+		}
+	}
+	switch {
+	case first >= 0 && inner >= 0 && inner != first && q.passed+1 >= innerEvery:
+		return q.take(inner), ReasonInner
+	case first >= 0:
+		if inner >= 0 && inner != first {
+			q.passed++
 		}
+		return q.take(first), ReasonQueued
 	}
 	c := q.late[0]
 	q.late = slices.Delete(q.late, 0, 1)
 	return c, ReasonLate
 }
 
+// take removes the first waiting call of a rank.
+func (q *goalQueue) take(rank int) Call {
+	list := q.lists[rank]
+	c := list[0]
+	q.lists[rank] = slices.Delete(list, 0, 1)
+	if c.Rank.IsInner() {
+		q.passed = 0
+	}
+	return c
+}
+
 // expire moves calls that can no longer meet their goals to the late calls, and refuses
 // calls that can no longer end by their deadlines.
 func (q *goalQueue) expire(now clock.Millis, actions []Action) []Action {
@@ -110,7 +128,7 @@
 			switch {
 			case end > c.Deadline:
 				actions = append(actions, refuse(c.ID, ReasonWait))
-			case c.Rank != InnerRank && c.Goal > 0 && end > c.Goal:
+			case !c.Rank.IsInner() && c.Goal > 0 && end > c.Goal:
 				actions = q.pushLate(c, actions)
 			default:
 				list = append(list, c)
--- a/core/admit/goalqueue_test.go
+++ b/core/admit/goalqueue_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"hickoryrail/core/clock"
@@ -22,21 +24,45 @@
 	loadDeadline = 800 * clock.Millis(1)
 )
 
-// outcomes counts the calls of a rank by outcome.
-type outcomes struct {
-	arrived, inGoal, late, refused int
+type (
+	// outcomes counts the calls of a rank by outcome.
+	outcomes struct {
+		arrived, inGoal, late, refused int
+	}
+
+	// loadKind is a kind of request in a simulated load.
+	loadKind struct {
+		rank  Rank
+		class model.Class
+		// run is the average run time, goal and deadline count from the arrival, and gap is
+		// the average time between two arrivals.
+		run, goal, deadline, gap clock.Millis
+	}
+)
+
+// served returns the share of calls that were answered.
+func (o *outcomes) served() float64 {
+	return float64(o.inGoal+o.late) / float64(o.arrived)
 }
 
-// simulate runs a gate under a constant load for length and returns the outcomes by
-// rank. The factor is the ratio of offered work to slots; every third call has rank 1, the
-// others have rank 3.
-func simulate(order Order, factor float64, length clock.Millis) map[Rank]*outcomes {
+// browsing is a load of one kind of request, of which every third one is urgent. The factor
+// is the ratio of offered work to slots.
+func browsing(factor float64) []loadKind {
+	gap := loadRun / loadSlots / clock.Millis(factor)
+	return []loadKind{
+		{rank: 1, class: model.Check, run: loadRun, goal: loadGoal, deadline: loadDeadline, gap: 3 * gap},
+		{rank: 3, class: model.Browse, run: loadRun, goal: loadGoal, deadline: loadDeadline, gap: 3 * gap / 2},
+	}
+}
+
+// simulate runs a gate under a constant load for length and returns the outcomes by rank.
+func simulate(order Order, kinds []loadKind, length clock.Millis) map[Rank]*outcomes {
 	random := rand.New(rand.NewPCG(3, 5))
 	g := &Gate{
 		Order: order, Slots: loadSlots, Connections: 130, QueueLength: 64,
 		AgeingMillis: 100, RunMillis: 10, OccupiedMillis: clock.Minute,
 	}
-	out := map[Rank]*outcomes{1: {}, 3: {}}
+	out := make(map[Rank]*outcomes)
 	type running struct {
 		call Call
 		took clock.Millis
@@ -44,21 +70,23 @@
 	}
 	var runs []running
 	calls := make(map[ident.RequestID]Call)
-	arrivedAt := make(map[ident.RequestID]clock.Millis)
+	runTimes := make(map[Rank]clock.Millis)
 	apply := func(now clock.Millis, actions []Action) {
 		for _, a := range actions {
 			c := calls[a.ID]
 			switch a.Kind {
 			case Start:
-				took := loadRun * clock.Millis(0.5+random.Float64())
+				took := runTimes[c.Rank] * clock.Millis(0.5+random.Float64())
 				runs = append(runs, running{c, took, now + took})
 			case Refuse:
 				out[c.Rank].refused++
 			}
 		}
 	}
-	gap := loadRun / loadSlots / clock.Millis(factor)
-	next := clock.Millis(0)
+	next := make([]clock.Millis, len(kinds))
+	for _, k := range kinds {
+		out[k.rank], runTimes[k.rank] = &outcomes{}, k.run
+	}
 	for now := clock.Millis(0); now < length; now++ {
 		for i := 0; i < len(runs); i++ {
 			if r := runs[i]; r.ends <= now {
@@ -72,16 +100,15 @@
 				apply(now, append([]Action(nil), g.Finish(now, r.call.ID, r.took)...))
 			}
 		}
-		for next <= now {
-			next += gap * clock.Millis(random.ExpFloat64())
-			id := ident.RequestID(fmt.Sprint(len(calls)))
-			c := Call{ID: id, Class: model.Browse, Rank: 3, Goal: now + loadGoal, Deadline: now + loadDeadline}
-			if len(calls)%3 == 0 {
-				c.Rank, c.Class = 1, model.Check
+		for i, k := range kinds {
+			for next[i] <= now {
+				next[i] += k.gap * clock.Millis(random.ExpFloat64())
+				id := ident.RequestID(fmt.Sprint(len(calls)))
+				c := Call{ID: id, Class: k.class, Rank: k.rank, Goal: now + k.goal, Deadline: now + k.deadline}
+				calls[id] = c
+				out[c.Rank].arrived++
+				apply(now, append([]Action(nil), g.Arrive(now, c)...))
 			}
-			calls[id], arrivedAt[id] = c, now
-			out[c.Rank].arrived++
-			apply(now, append([]Action(nil), g.Arrive(now, c)...))
 		}
 		if now >= g.Next() {
 			apply(now, append([]Action(nil), g.Tick(now)...))
@@ -94,7 +121,7 @@
 // ordered by class and deadline, the calls of the last rank wait for most of their time,
 // and nearly all answers are late. It simulates 40 s at 1.4 times the capacity.
 func TestOverloadByGoal(t *testing.T) {
-	byClass, byGoal := simulate(ByClass, 1.4, 40*clock.Second), simulate(ByGoal, 1.4, 40*clock.Second)
+	byClass, byGoal := simulate(ByClass, browsing(1.4), 40*clock.Second), simulate(ByGoal, browsing(1.4), 40*clock.Second)
 	lastByClass, last, first := byClass[3], byGoal[3], byGoal[1]
 	if last.inGoal < 4*lastByClass.inGoal {
 		t.Errorf("%+v by goal is not better than %+v by class", last, lastByClass)
@@ -111,6 +138,50 @@
 	}
 }
 
+// callsOfOthers is the load of the users' service whose new requests are their most urgent
+// ones, and to which less urgent running requests of another service make calls. The
+// factors are the ratios of the work of each to the slots.
+func callsOfOthers(urgent, inner clock.Millis) []loadKind {
+	return []loadKind{
+		{rank: NewRank(model.Check), class: model.Check, run: 63, goal: 200, deadline: 1200, gap: 63 / loadSlots / urgent},
+		{rank: NewRank(model.Browse).Inner(), class: model.Check, run: 22, goal: 100, deadline: 250, gap: 22 / loadSlots / inner},
+	}
+}
+
+// TestUrgentRequestsBeforeCallsOfOthers guards against a gate at which the calls of less
+// urgent running requests take the slots of urgent new requests, at 1.8 times the capacity.
+// The users allow that urgent ones are served less often by 5 in 100.
+func TestUrgentRequestsBeforeCallsOfOthers(t *testing.T) {
+	out := simulate(ByGoal, callsOfOthers(0.6, 1.2), 40*clock.Second)
+	urgent, inner := out[NewRank(model.Check)], out[NewRank(model.Browse).Inner()]
+	if urgent.served() < inner.served()-0.05 {
+		t.Errorf("urgent requests have the outcomes %+v, calls of others %+v", urgent, inner)
+	}
+}
+
+// TestCallsOfOthersGetSlots guards against a gate whose slots are all taken by urgent new
+// requests, so that every less urgent one fails that needs a call.
+func TestCallsOfOthersGetSlots(t *testing.T) {
+	out := simulate(ByGoal, callsOfOthers(1.5, 0.2), 40*clock.Second)
+	if inner := out[NewRank(model.Browse).Inner()]; inner.served() < 0.25 {
+		t.Errorf("of the calls of other requests, only %.3f are served: %+v", inner.served(), inner)
+	}
+}
+
+// TestRankOfCalls guards against calls of urgent requests that wait behind less urgent
+// requests, and against calls of calls that lose the urgency of the first request.
+func TestRankOfCalls(t *testing.T) {
+	is := is.New(t)
+	check, action, browse := NewRank(model.Check), NewRank(model.Action), NewRank(model.Browse)
+	order := []Rank{check.Inner(), check, action.Inner(), action, browse.Inner(), browse}
+	is.True(slices.IsSorted(order))
+	is.True(browse <= LastRank)
+	for i, r := range order {
+		is.Equal(r.IsInner(), i%2 == 0)
+		is.Equal(r.Inner().Inner(), r.Inner())
+	}
+}
+
 // TestGoalQueueInvariants guards against a call without an outcome or with two, a start
 // after the deadline, and a call that waits although a slot is free.
 func TestGoalQueueInvariants(t *testing.T) {
--- a/core/admit/rate_test.go
+++ b/core/admit/rate_test.go
@@ -133,6 +133,6 @@
 	g := &Gate{Order: ByGoal, Slots: 6, Connections: 9, QueueLength: 20, RunMillis: 10}
 	g.SetLimit(0, 0, option.Some(5.0))
 	is.Equal(len(g.Arrive(0, Call{ID: "in time", Rank: 1, Goal: 300, Deadline: 1200})), 0)
-	is.Equal(g.Arrive(1, Call{ID: "late", Rank: 2, Goal: 200, Deadline: 1200}), []Action{refuse("late", ReasonLimit)})
+	is.Equal(g.Arrive(1, Call{ID: "late", Rank: 3, Goal: 200, Deadline: 1200}), []Action{refuse("late", ReasonLimit)})
 	is.Equal(g.Tick(200)[0], Action{Kind: Start, ID: "in time", Reason: ReasonQueued})
 }
--- a/io/proxy/drain.go
+++ b/io/proxy/drain.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"hickoryrail/core/clock"
-	"hickoryrail/core/ident"
 	"hickoryrail/core/stop"
 )
 
@@ -56,12 +55,11 @@
 // isInnerCall reports whether a request that runs at the local target makes this one. The
 // drain lets that request finish, so its calls are served as well.
 func (in *Ingress) isInnerCall(ctx *fasthttp.RequestCtx) bool {
-	if in.Gateway == nil || in.Dialect.ParentID == nil || in.Dialect.RequestIDHeader == "" {
+	if in.Dialect.RequestIDHeader == "" {
 		return false
 	}
-	id := ctx.Request.Header.Peek(in.Dialect.RequestIDHeader)
-	running, _ := in.Gateway.Running(ident.RequestID(in.Dialect.ParentID(id)))
-	return running
+	_, ok := in.parent(ctx.Request.Header.Peek(in.Dialect.RequestIDHeader))
+	return ok
 }
 
 // BeginDrain answers new requests as not run and closes their connections. Calls of
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -172,13 +172,16 @@
 	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond)
 }
 
-// Running reports whether the local target runs the request to which its caller gave
-// id, and whether that request is a repeated one.
-func (g *Gateway) Running(id ident.RequestID) (running, repeated bool) {
+// Running returns the request at the local target to which its caller gave id; false if
+// there is none. The caller must not modify it.
+func (g *Gateway) Running(id ident.RequestID) (*wire.Request, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.byCallerID[id]
-	return c != nil, c != nil && c.request.Repeated
+	if c == nil {
+		return nil, false
+	}
+	return c.request, true
 }
 
 // Address returns the address of the target, or "" without one.
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -58,7 +58,7 @@
 		c.id = string(id) + "." + c.id
 		c.request.CallerID = ident.RequestID(id)
 	}
-	c.request.Rank, c.parentRepeated = in.rankOf(id, &r)
+	c.request.Rank, c.parentRepeated = in.rankOf(id, r.Class)
 	if in.Dialect.OriginHeader != "" {
 		c.request.Headers.Append([]byte(in.Dialect.OriginHeader), []byte(in.Service))
 	}
@@ -128,15 +128,21 @@
 	return address.AddrPort().Addr().Unmap()
 }
 
-// rankOf returns the rank of a request: calls on behalf of a request that runs at the
-// local target come first, since that request waits for them, then the classes in
-// order. The second result reports whether that request is a repeated one.
-func (in *Ingress) rankOf(id []byte, r *model.Route) (admit.Rank, bool) {
-	if in.Gateway != nil && in.Dialect.ParentID != nil {
-		running, repeated := in.Gateway.Running(ident.RequestID(in.Dialect.ParentID(id)))
-		if running {
-			return admit.InnerRank, repeated
-		}
+// rankOf returns the rank of a request with an id, which is of a class unless a request
+// that runs at the local target makes it. The second result reports whether that request
+// is a repeated one.
+func (in *Ingress) rankOf(id []byte, class model.Class) (admit.Rank, bool) {
+	if parent, ok := in.parent(id); ok {
+		return parent.Rank.Inner(), parent.Repeated
+	}
+	return admit.NewRank(class), false
+}
+
+// parent returns the request on whose behalf the request with an id is made; false if
+// none runs at the local target.
+func (in *Ingress) parent(id []byte) (*wire.Request, bool) {
+	if in.Gateway == nil || in.Dialect.ParentID == nil {
+		return nil, false
 	}
-	return admit.InnerRank + 1 + admit.Rank(r.Class), false
+	return in.Gateway.Running(ident.RequestID(in.Dialect.ParentID(id)))
 }
