io/frame: end the calls in flight when the transport stops

Their contexts now end with the cause stop.ErrStopped, on which the gate gives up as well. TestStopEndsCalls fails on the code before.

--- a/core/stop/plan.go
+++ b/core/stop/plan.go
@@ -1,7 +1,11 @@
 // Package stop decides how long each part of a planned stop takes.
 package stop
 
-import "hickoryrail/core/clock"
+import (
+	"errors"
+
+	"hickoryrail/core/clock"
+)
 
 const (
 	// lameDuckShare bounds the lame-duck period as a share of the time until the process
@@ -12,6 +16,9 @@
 	exitShare = 1.0 / 12
 )
 
+// ErrStopped is the cause that ends the requests which are in flight when a node stops.
+var ErrStopped = errors.New("node has stopped")
+
 // Plan is the timetable of a planned stop. Both times count from the request to stop.
 type Plan struct {
 	// LameDuckMillis is how long the node serves on while it reports that it is not ready.
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -12,6 +12,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/stop"
 	"hickoryrail/io/peer"
 )
 
@@ -54,8 +55,8 @@
 		// nil.
 		OnControl func(from ident.NodeID, body []byte)
 		// OnCall returns the answer to a request and owns body. Its ctx ends when
-		// the caller cancels the call or the connection is lost. If it is nil, all
-		// calls are refused.
+		// the caller cancels the call or the connection is lost, and with the cause
+		// stop.ErrStopped when the transport stops. If it is nil, all calls are refused.
 		OnCall func(ctx context.Context, from ident.NodeID, body []byte) []byte
 		// OnEvent receives the events of dialed connections; it may be nil and must
 		// not block.
@@ -69,7 +70,7 @@
 		listener  net.Listener
 		metrics   metrics
 		runCtx    context.Context
-		cancelRun context.CancelFunc
+		cancelRun context.CancelCauseFunc
 		group     conc.WaitGroup
 
 		// mu guards what follows.
@@ -109,7 +110,7 @@
 		return err
 	}
 	t.listener = l
-	t.runCtx, t.cancelRun = context.WithCancel(context.Background())
+	t.runCtx, t.cancelRun = context.WithCancelCause(context.Background())
 	return nil
 }
 
@@ -143,13 +144,13 @@
 	}
 	t.mu.Unlock()
 	err := t.listener.Close()
+	t.cancelRun(stop.ErrStopped) // before the connections close, which ends their calls without a cause
 	for _, c := range open {
 		c.fail(errClosed)
 	}
 	for _, s := range accepted {
 		_ = s.conn.Close()
 	}
-	t.cancelRun()
 	t.group.Wait()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
--- a/io/proxy/drain.go
+++ b/io/proxy/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -31,9 +30,6 @@
 	requestedAt clock.Millis
 }
 
-// errStopped is the cause that ends the requests in flight at the end of a drain.
-var errStopped = errors.New("node has stopped")
-
 // BeginStop announces that a planned stop begins now. Requests that are expected to last
 // beyond its end are refused from then on.
 func (in *Ingress) BeginStop(p stop.Plan) {
@@ -111,7 +107,7 @@
 // abandon ends the requests in flight, so that their callers get a verdict in place of a
 // closed connection.
 func (in *Ingress) abandon() {
-	in.server.Cancel(errStopped)
+	in.server.Cancel(stop.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), abandonMillis.Duration())
 	defer cancel()
 	_ = in.server.Close(ctx) // what is unanswered after abandonMillis is cut
--- a/io/proxy/left.go
+++ b/io/proxy/left.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"hickoryrail/core/stop"
 	"hickoryrail/io/stats"
 )
 
@@ -60,7 +61,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return reasonDeadline
-	case errors.Is(context.Cause(ctx), errStopped):
+	case errors.Is(context.Cause(ctx), stop.ErrStopped):
 		return reasonStopped
 	}
 	return reasonGaveUp
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -17,6 +17,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/report"
 	"hickoryrail/core/result"
+	"hickoryrail/core/stop"
 	"hickoryrail/io/sock"
 	"hickoryrail/io/wire"
 )
@@ -227,14 +228,14 @@
 	}
 	defer fasthttp.ReleaseRequest(x.req)
 	defer fasthttp.ReleaseResponse(x.resp)
-	stop := context.AfterFunc(ctx, func() {
-		if r.Idempotent || errors.Is(context.Cause(ctx), errStopped) {
+	unwatch := context.AfterFunc(ctx, func() {
+		if r.Idempotent || errors.Is(context.Cause(ctx), stop.ErrStopped) {
 			_ = conn.SetDeadline(time.Unix(1, 0))
 		}
 	})
 	clean, err := t.roundTrip(&x, r)
 	// If the AfterFunc has already run, the connection has a deadline in the past.
-	clean = (stop() || !r.Idempotent) && clean
+	clean = (unwatch() || !r.Idempotent) && clean
 	if err != nil {
 		return nil, false, x.resultError(ctx, err)
 	}
