io/frame: start no call whose connection has ended

A node that was paused or very slow reads calls that arrived seconds before. Where the caller's node had closed the connection meanwhile, the call started although no answer could be delivered and the caller had been told its outcome. Calls now start only while their connection is open. TestCallOfEndedConnectionIsNotStarted fails on the code before.

--- a/io/frame/left_test.go
+++ b/io/frame/left_test.go
@@ -81,3 +81,37 @@
 	c.writing <- struct{}{}
 	return func() { <-c.writing }
 }
+
+// TestCallOfEndedConnectionIsNotStarted guards against a node that was paused for seconds
+// and then starts calls whose callers have closed their connections meanwhile and were told
+// the outcome. Calls of open connections start after the pause.
+func TestCallOfEndedConnectionIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	started := make(chan string, 16)
+	server := &Transport{Self: "b", Listen: "127.0.0.1:0", OnCall: func(_ context.Context, _ ident.NodeID, body []byte) []byte {
+		started <- string(body)
+		return nil
+	}}
+	is.NoErr(server.Open())
+	send := func(body string) net.Conn {
+		c, err := net.Dial("tcp", server.Address())
+		is.NoErr(err)
+		bytes := message{kind: kindHello, payload: []byte("a")}.encode()
+		_, err = c.Write(append(bytes, message{kind: kindCall, id: 1, payload: []byte(body)}.encode()...))
+		is.NoErr(err)
+		return c
+	}
+	for range 8 {
+		is.NoErr(send("left").Close())
+	}
+	defer func(c net.Conn) { _ = c.Close() }(send("waits"))
+	time.Sleep(20 * time.Millisecond) // until the ends of the connections have arrived
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	is.Equal(<-started, "waits")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(started), 0)
+	cancel()
+	is.NoErr(<-ended)
+}
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/ident"
 	"hickoryrail/core/intake"
+	"hickoryrail/io/sock"
 )
 
 // helloTimeout bounds the wait for the first frame of an accepted connection.
@@ -93,15 +94,17 @@
 		delete(t.accepted, s)
 		t.mu.Unlock()
 	}()
+	probe := sock.NewProbe(conn)
 	for {
 		m, err := read(b, t.BodyBytes)
 		if err != nil {
 			return
 		}
 		s.handle(m)
-		// A slow node reads a call and its cancellation at the same time, so calls
-		// start only when no further frame is in the buffer.
-		if !holdsFrame(b) {
+		// A slow or paused node reads a call together with its cancellation or the end
+		// of its connection, so calls start only when no further frame is in the buffer
+		// and the peer can still get their answers.
+		if !holdsFrame(b) && probe.Peek() != sock.Ended {
 			s.received.Start(s.call)
 		}
 	}
