--- a/core/admit/classqueue.go
+++ b/core/admit/classqueue.go
@@ -42,7 +42,7 @@
 // refuses the last call of a lower-priority class in favour of c, or c itself if there
 // is none; it refuses neither if no other call of c's class waits.
 func (q *classQueue) push(now clock.Millis, c Call, actions []Action) []Action {
-	if now+q.expectedWait(c) > c.Deadline {
+	if now+q.expectedWait(now, c) > c.Deadline {
 		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
 	}
 	if q.size() >= q.gate.QueueLength && len(q.lists[c.Class]) > 0 {
@@ -206,7 +206,7 @@
 // expectedWait returns how long c would wait: the expected run times of the calls ahead
 // of it and one average run time for the running calls, divided by the slots, but at
 // least until the limit of requests per second allows it to start.
-func (q *classQueue) expectedWait(c Call) clock.Millis {
+func (q *classQueue) expectedWait(_ clock.Millis, c Call) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
 		return 0 // announced slots expire by themselves; the deadline bounds the wait
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -59,7 +59,7 @@
 		// expire refuses the calls that must not wait any longer.
 		expire(now clock.Millis, actions []Action) []Action
 		// expectedWait returns how long c would wait for a slot.
-		expectedWait(c Call) clock.Millis
+		expectedWait(now clock.Millis, c Call) clock.Millis
 		// remove removes a waiting call and reports whether it was queued.
 		remove(id ident.RequestID) bool
 		// clear removes and refuses every call.
@@ -141,7 +141,7 @@
 	case g.free() > 0:
 		g.start(now, c)
 		return append(actions, Action{Kind: Start, ID: c.ID, Reason: ReasonFree})
-	case c.FailFast && g.queue().expectedWait(c) > failFastShare*(c.effectiveGoal()-now):
+	case c.FailFast && g.queue().expectedWait(now, c) > failFastShare*(c.effectiveGoal()-now):
 		return append(actions, refuse(c.ID, ReasonNoFreeSlot))
 	}
 	return g.queue().push(now, c, actions)
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -37,6 +37,9 @@
 		// averageRun is the moving average of each rank's run time; 0 until a call has
 		// finished.
 		averageRun [LastRank + 1]clock.Millis
+		// pressedUntil is until when each rank of new requests goes before all calls of
+		// less urgent running requests.
+		pressedUntil [LastRank + 1]clock.Millis
 		// passed counts the starts since a call of a running request was passed over.
 		passed int
 	}
@@ -45,7 +48,10 @@
 // push queues c if it can be answered by its goal, or else among the late calls if
 // there is room. It refuses c if the queue is full or if c cannot end by its deadline.
 func (q *goalQueue) push(now clock.Millis, c Call, actions []Action) []Action {
-	end := now + q.expectedWait(c) + q.expectedRun(c.Rank)
+	end := now + q.expectedWait(now, c) + q.expectedRun(c.Rank)
+	if !c.Rank.IsInner() && c.Goal > now && end > c.Goal {
+		q.pressedUntil[c.Rank] = now + pressedMillis
+	}
 	switch {
 	case end > c.Deadline:
 		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
@@ -80,7 +86,7 @@
 }
 
 // pop removes the call to start next and returns it with the reason of the choice.
-func (q *goalQueue) pop(clock.Millis) (Call, string) {
+func (q *goalQueue) pop(now clock.Millis) (Call, string) {
 	first, inner := -1, -1
 	for rank, list := range q.lists {
 		if len(list) == 0 {
@@ -94,12 +100,14 @@
 		}
 	}
 	switch {
-	case first >= 0 && inner >= 0 && inner != first && q.passed+1 >= innerEvery:
+	case inner >= 0 && (inner == first || !q.isPressed(now, Rank(inner))):
+		return q.take(inner), ReasonQueued
+	case inner >= 0 && q.passed+1 >= innerEvery:
 		return q.take(inner), ReasonInner
+	case inner >= 0:
+		q.passed++
+		return q.take(first), ReasonQueued
 	case first >= 0:
-		if inner >= 0 && inner != first {
-			q.passed++
-		}
 		return q.take(first), ReasonQueued
 	}
 	c := q.late[0]
@@ -107,6 +115,28 @@
 	return c, ReasonLate
 }
 
+// isPressed reports whether new requests that are more urgent than the calls of a rank
+// have missed their goals within pressedMillis.
+func (q *goalQueue) isPressed(now clock.Millis, inner Rank) bool {
+	for _, until := range q.pressedUntil[:inner] {
+		if now < until {
+			return true
+		}
+	}
+	return false
+}
+
+// goesBefore reports whether waiting calls of rank r start before a call of rank c.
+func (q *goalQueue) goesBefore(now clock.Millis, r, c Rank) bool {
+	switch {
+	case r.IsInner() && !c.IsInner() && r > c:
+		return !q.isPressed(now, r)
+	case c.IsInner() && !r.IsInner() && r < c:
+		return q.isPressed(now, c)
+	}
+	return r < c
+}
+
 // take removes the first waiting call of a rank.
 func (q *goalQueue) take(rank int) Call {
 	list := q.lists[rank]
@@ -218,7 +248,7 @@
 // expectedWait returns how long c would wait: the expected run times of the calls ahead
 // of it and one average run time for the running calls, divided by the slots, but at
 // least until the limit of requests per second allows it to start.
-func (q *goalQueue) expectedWait(c Call) clock.Millis {
+func (q *goalQueue) expectedWait(now clock.Millis, c Call) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
 		return 0 // announced slots expire by themselves; the deadline bounds the wait
@@ -228,7 +258,10 @@
 		work += q.expectedRun(min(r.Rank, LastRank)) / clock.Millis(len(q.gate.running))
 	}
 	ahead := 0
-	for rank := range c.Rank {
+	for rank := range LastRank + 1 {
+		if !q.goesBefore(now, rank, c.Rank) {
+			continue
+		}
 		ahead += len(q.lists[rank])
 		work += clock.Millis(len(q.lists[rank])) * q.expectedRun(rank)
 	}
