io/frame: wait for the call in TestRenewReplacesConnections

The likely cause, from reading: the test renewed the link when the server had accepted the connection, which can be before the client uses it. No second connection is then made, the check fails, and the handler that the server's stop waits for is never released. The test now waits until the call has arrived, with the same checks, and releases the handler also after a failed check.

--- a/io/frame/renew_test.go
+++ b/io/frame/renew_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,11 +69,13 @@
 // cut although its connection still works.
 func TestRenewReplacesConnections(t *testing.T) {
 	is := is.New(t)
-	release := make(chan struct{})
+	entered, release := make(chan struct{}), make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish() // the server waits for its handlers, also after a failed check
 	received := make(chan string, 8)
 	server := start(t, &Transport{
 		Self:      "b",
-		OnCall:    func(_ context.Context, _ ident.NodeID, body []byte) []byte { <-release; return body },
+		OnCall:    func(_ context.Context, _ ident.NodeID, body []byte) []byte { close(entered); <-release; return body },
 		OnControl: func(_ ident.NodeID, body []byte) { received <- string(body) },
 	})
 	client := start(t, &Transport{Self: "a"})
@@ -83,12 +86,12 @@
 		_, err := client.Call(testContext(t), "b", server.Address(), []byte("x"))
 		answered <- err
 	}()
-	acceptedBy(t, server, 1)
+	<-entered // the server sees a connection before the client uses it for calls
 	client.Renew("b")
 	client.SendControl("b", server.Address(), []byte("whole"))
 	is.Equal(<-received, "whole")
 	acceptedBy(t, server, 2)
-	close(release)
+	finish()
 	is.NoErr(<-answered)
 	_ = silent.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
 	_, err := silent.Read(make([]byte, 1))
