core/spread: set up the tests of lagging nodes in one place

Cause: TestLaggingNodeReadsSource and TestFetchingNodeDoesNotReadSource began with the same six lines. Change: newLagReader makes the node for both; checks and bounds are the same. Conclusion: nothing that runs in a node changed.

--- a/core/spread/node_test.go
+++ b/core/spread/node_test.go
@@ -213,17 +213,25 @@
 	is.Equal(second[0].To, ident.NodeID("c"))
 }
 
-// TestLaggingNodeReadsSource guards against a node that knows of a newer release for
-// seconds and does not have it, because all of its neighbours answer too slowly. A release
-// must be in force within 2 s, of which the first half is left to the neighbours.
-func TestLaggingNodeReadsSource(t *testing.T) {
-	is := is.New(t)
+// newLagReader returns a node that holds version 1 and reads the source after a lag of a
+// second.
+func newLagReader(t *testing.T) *Node {
+	t.Helper()
 	config := DefaultConfig()
 	config.LagMillis = clock.Second
 	n := New(config, rand.New(rand.NewPCG(1, 1)))
 	n.SetFloor(0, 0)
 	n.SourceHead(0, 1, release(t, 1).Digest)
 	n.SourceRelease(0, release(t, 1))
+	return n
+}
+
+// TestLaggingNodeReadsSource guards against a node that knows of a newer release for
+// seconds and does not have it, because all of its neighbours answer too slowly. A release
+// must be in force within 2 s, of which the first half is left to the neighbours.
+func TestLaggingNodeReadsSource(t *testing.T) {
+	is := is.New(t)
+	n := newLagReader(t)
 	n.SetNeighbours(0, []Neighbour{{Node: "b"}, {Node: "c"}})
 	newer := release(t, 2)
 	read := clock.Millis(0)
@@ -252,12 +260,7 @@
 // cost as many reads as there are nodes.
 func TestFetchingNodeDoesNotReadSource(t *testing.T) {
 	is := is.New(t)
-	config := DefaultConfig()
-	config.LagMillis = clock.Second
-	n := New(config, rand.New(rand.NewPCG(1, 1)))
-	n.SetFloor(0, 0)
-	n.SourceHead(0, 1, release(t, 1).Digest)
-	n.SourceRelease(0, release(t, 1))
+	n := newLagReader(t)
 	n.SetNeighbours(0, []Neighbour{{Node: "b"}})
 	for v := ident.Version(2); v < 40; v++ {
 		now := clock.Millis(v) * 250
