--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -15,10 +15,12 @@
 	// memoryLimit is the setting memory-mb of the small deployments.
 	memoryLimit = 284
 	// uploadBytes is the size of a request's body, of the 64 MB that max-body-bytes allows.
-	uploadBytes = 5 << 20
+	uploadBytes = 6 << 20
 	// usualUploads is the number of requesters on a machine that send a body, and
-	// burstUploads the number in a burst of 1.8 times the traffic.
-	usualUploads, burstUploads = 9, 16
+	// burstUploads the number in a burst of 1.83 times the traffic.
+	usualUploads, burstUploads = 6, 11
+	// uploadWork is how long the server works on a request with a body.
+	uploadWork = 200 * time.Millisecond
 	// rounds is the number of times that they send.
 	rounds = 3
 )
@@ -144,7 +146,7 @@
 				defer c.conn.Close()
 				id := fmt.Sprintf("r%d-%d-%d", round, k, i)
 				f.exchange(c, n, request{id: id + "a", method: "PUT", path: "/stock/x", budget: 3 * time.Second, work: 5 * time.Millisecond})
-				a := f.exchange(c, n, request{id: id + "b", method: "PUT", path: "/stock/x", budget: 3 * time.Second, work: 50 * time.Millisecond, content: body})
+				a := f.exchange(c, n, request{id: id + "b", method: "PUT", path: "/stock/x", budget: 3 * time.Second, work: uploadWork, content: body})
 				mu.Lock()
 				defer mu.Unlock()
 				if a.kept && a.status == 0 && !a.isTimeout() && len(server.runsOf(a.id)) > 0 {
