review: case 1 ends at the fifth foreign body

Cause: a fixed number of connections would be too few on a slower machine. Adds up to 1,000 connections within 90 s.

--- a/review/stand/mixed.go
+++ b/review/stand/mixed.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// mixedRounds is the number of connections, one after the other.
-	mixedRounds = 400
+	// mixedRounds is the largest number of connections, one after the other, mixedTime
+	// bounds the time for them, and enough is the number of foreign bodies that ends the
+	// case.
+	mixedRounds = 1000
+	mixedTime   = 90 * time.Second
+	enough      = 5
 	// largeAnswer is the size of the first answer on a connection, and smallAnswer that of
 	// the others.
 	largeAnswer, smallAnswer = 8_000_000, 6_000
@@ -50,8 +54,8 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	foreign := 0
-	for round := range mixedRounds {
+	foreign, round := 0, 0
+	for end := time.Now().Add(mixedTime); round < mixedRounds && foreign < enough && time.Now().Before(end); round++ {
 		err := f.pipeline(n, round, trouble)
 		if errors.Is(err, errForeign) {
 			foreign++
@@ -59,7 +63,7 @@
 			return false, err
 		}
 	}
-	f.logf("%d of %d connections got a foreign body", foreign, mixedRounds)
+	f.logf("%d of %d connections got a foreign body", foreign, round)
 	return foreign > 0, nil
 }
 
@@ -141,6 +145,7 @@
 	}
 	want := answerBody(id, size)
 	if bytes.Equal(body, want) {
+		f.notef("%s: status 200, the server's %d bytes", id, size)
 		return nil
 	}
 	at := 0
