platform: keep the names of the platform's bounds in the settings of a node

Cause: the template wrote the values of the bounds without their names, and the adapter ignored entries without a name. No node of a deployment knew when the platform kills it, so its stop was planned for 60 s; nor did it know the fixed part of the retry budget.

--- a/io/conf/hosted_test.go
+++ b/io/conf/hosted_test.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -8,7 +9,7 @@
 
 // TestHostedSettings guards against settings for PlatformRows that are refused by rules
 // for PlatformObjects, such as a loopback TargetAddress, or that are accepted without
-// ReadyAddress.
+// ReadyAddress or with bounds that have no name.
 func TestHostedSettings(t *testing.T) {
 	is := is.New(t)
 	base := "Node = \"a\"\nFailureDomain = \"d\"\nRegion = \"r\"\nService = \"s\"\nPlatformURL = \"http://10.0.0.1:1\"\n" +
@@ -21,6 +22,10 @@
 	is.NoErr(err)
 	is.Equal(s.Platform, PlatformRows)
 	is.Equal(s.PlatformBounds, []string{"a=1", "b=2"})
+	for _, nameless := range []string{"6", "=6", ""} {
+		_, err = Parse(base + fmt.Sprintf("Platform = \"rows\"\nReadyAddress = \"10.0.0.9:4\"\nPlatformBounds = [%q]\n", nameless))
+		is.True(err != nil)
+	}
 	_, err = Parse(base + "Platform = \"other\"\n")
 	is.True(err != nil)
 }
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -94,11 +94,7 @@
 		func(s *Settings) *Platform { return &s.Platform }),
 	{
 		Key: "PlatformBounds", Kind: List, Allowed: `entries "name=value"`,
-		Help: "Bounds of the platform, for the package platform.",
-		set: func(s *Settings, v value) bool {
-			s.PlatformBounds = v.list
-			return true
-		},
+		Help: "Bounds of the platform, for the package platform.", set: setBounds,
 	},
 	{
 		Key: "Seeds", Kind: List, Allowed: `entries "NodeID@IP:port"`,
@@ -196,6 +192,17 @@
 	}
 }
 
+// setBounds stores the bounds of the platform.
+func setBounds(s *Settings, v value) bool {
+	for _, entry := range v.list {
+		if name, _, found := strings.Cut(entry, "="); !found || name == "" {
+			return false
+		}
+	}
+	s.PlatformBounds = v.list
+	return true
+}
+
 // setSeeds stores the list of seeds.
 func setSeeds(s *Settings, v value) bool {
 	seeds := make([]Seed, 0, len(v.list))
