core/retry: divide the fixed part of the retry budget by the whole fleet

Cause: now that nodes know the fixed part of the budget, each divides it by the nodes that it knows. Nodes that start together, or that a partition separates, know few others, and their parts add up to a multiple of it: 80 nodes that know only themselves may repeat 44 arrivals each, of 64 for all.

Change: the fixed part is used from one window after the first view, and the number of nodes decreases only after a minute.

Result: TestFixedPartInUnknownFleet and TestFixedPartIsUsed fail with a number of nodes that is taken as it comes, and pass now; the tests of io/proxy, io/node and io/bench pass.

--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -15,6 +15,10 @@
 	// callMargin is the fraction up to which calls of repeated requests are made. A request
 	// whose call is refused fails, so they may use more than retries.
 	callMargin = 0.95
+	// nodesKeepMillis is how long a budget goes by a number of nodes after it has become
+	// lower. Nodes that are out of reach still use their parts of the fixed amount; this is
+	// longer than a partition usually lasts.
+	nodesKeepMillis = 60 * clock.Second
 )
 
 type (
@@ -30,9 +34,17 @@
 		Fixed float64
 		// WindowMillis is the length of the window; above 0.
 		WindowMillis clock.Millis
-		// Nodes is the number of nodes, at least 1; it may change at any time.
+		// Nodes is the number of nodes, at least 1. SetNodes changes it.
 		Nodes int
 
+		// knownAt is the time of the first call of SetNodes, valid if known. The fixed
+		// amount is not used until a window later: a node that starts does not know yet
+		// among how many nodes it is divided.
+		knownAt clock.Millis
+		known   bool
+		// highestUntil is the time until which Nodes does not decrease.
+		highestUntil clock.Millis
+
 		services map[ident.ServiceName]*window
 	}
 
@@ -45,6 +57,24 @@
 	}
 )
 
+// SetNodes records that the node knows n live nodes, itself included, at now.
+func (b *WindowBudget) SetNodes(now clock.Millis, n int) {
+	if !b.known {
+		b.known, b.knownAt = true, now
+	}
+	if n >= b.Nodes || now >= b.highestUntil {
+		b.Nodes, b.highestUntil = n, now+nodesKeepMillis
+	}
+}
+
+// fixed returns the node's part of the fixed amount at now.
+func (b *WindowBudget) fixed(now clock.Millis) float64 {
+	if b.known && now < b.knownAt+b.WindowMillis {
+		return 0
+	}
+	return b.Fixed / float64(max(b.Nodes, 1))
+}
+
 // RecordRequest counts a request of a caller for a service.
 func (b *WindowBudget) RecordRequest(now clock.Millis, service ident.ServiceName) {
 	w := b.window(now, service)
@@ -72,7 +102,7 @@
 	}
 	// The oldest bucket may lie outside of the window.
 	requests -= w.requests[(w.bucket+1)%(windowBuckets+1)]
-	allowed := margin * (b.Ratio*float64(requests) + b.Fixed/float64(max(b.Nodes, 1)))
+	allowed := margin * (b.Ratio*float64(requests) + b.fixed(now))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/core/retry/windowbudget_test.go
+++ b/core/retry/windowbudget_test.go
@@ -131,6 +131,55 @@
 	is.True(calls > 0)
 }
 
+// TestFixedPartInUnknownFleet guards against a sum above the bound when nodes do not know
+// all others: each takes its part of the fixed amount for the one of a smaller fleet. The
+// nodes of a fleet start together and learn of each other within a second, and are then
+// partitioned into single nodes.
+func TestFixedPartInUnknownFleet(t *testing.T) {
+	is := is.New(t)
+	const (
+		nodes, fixed = 80, 64
+		windowMillis = 10 * clock.Second
+	)
+	for _, known := range []struct {
+		at    clock.Millis
+		nodes int
+	}{{0, 1}, {1 * clock.Second, nodes}, {25 * clock.Second, 1}, {30 * clock.Second, nodes}} {
+		repeats := 0
+		for range nodes {
+			b := &WindowBudget{Fixed: fixed, WindowMillis: windowMillis}
+			b.SetNodes(0, 1)
+			b.SetNodes(500, nodes)
+			b.SetNodes(known.at, known.nodes)
+			for b.Take(known.at, "s") {
+				repeats++
+			}
+		}
+		is.True(repeats <= fixed)
+	}
+}
+
+// TestFixedPartIsUsed guards against a fixed amount that is never available, and against
+// one that stays at the part of a fleet that has become smaller.
+func TestFixedPartIsUsed(t *testing.T) {
+	is := is.New(t)
+	b := &WindowBudget{Fixed: 100, WindowMillis: 10 * clock.Second}
+	taken := func(now clock.Millis) int {
+		n := 0
+		for b.Take(now, "s") {
+			n++
+		}
+		return n
+	}
+	b.SetNodes(0, 10)
+	is.Equal(taken(5*clock.Second), 0)
+	is.Equal(taken(11*clock.Second), 7) // 100 / 10 nodes, less the margin
+	b.SetNodes(12*clock.Second, 5)      // half of the fleet may be out of reach
+	is.Equal(taken(30*clock.Second), 7)
+	b.SetNodes(12*clock.Second+nodesKeepMillis, 5) // it was removed
+	is.Equal(taken(13*clock.Second+nodesKeepMillis), 14)
+}
+
 // TestWindowBudgetTakeCall guards against calls of retried requests that are not counted as
 // repeated arrivals, and against retries that leave them no room.
 func TestWindowBudgetTakeCall(t *testing.T) {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -201,11 +201,12 @@
 
 // SetView applies a view to new requests; nodes is the number of live nodes.
 func (in *Ingress) SetView(v *view.View, nodes int) {
+	now := in.Clock.Now()
 	in.mu.Lock()
 	if in.Policy.WindowBudget != nil {
-		in.Policy.WindowBudget.Nodes = nodes
+		in.Policy.WindowBudget.SetNodes(now, nodes)
 	}
-	in.Picker.SetView(in.Clock.Now(), v)
+	in.Picker.SetView(now, v)
 	in.split.Keep(v.HasRoute)
 	in.waitEstimator.Keep(v.HasRoute)
 	if in.FailFast != nil {
