io/node: name a release of the source that is refused

Change: the adapter says that a release is refused, with its position. The watcher counts it in releases_refused_total, logs the faults once a revision, takes the source for available, and reads it again every second.

--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -37,6 +38,8 @@
 		// down makes all calls fail, and refused those of single nodes to the source.
 		down    bool
 		refused sets.Set[ident.NodeID]
+		// invalid makes answers with a release refuse it.
+		invalid bool
 		// newestFails makes reads of the newest release fail.
 		newestFails bool
 		seeds       map[ident.NodeID]member.Seed
@@ -63,6 +66,9 @@
 	noopEndpoint struct{}
 )
 
+// errInvalidRelease is the error of an answer with an invalid release.
+var errInvalidRelease = fmt.Errorf("%w: Route/r/TimeoutMillis", plat.ErrReleaseRefused)
+
 func (noopEndpoint) Open() error { return nil }
 
 func (noopEndpoint) Run(ctx context.Context) error {
@@ -104,6 +110,9 @@
 		return feed.Answer{}, plat.ErrNotFound
 	}
 	h.reads++
+	if h.invalid {
+		return feed.Answer{Position: h.position}, errInvalidRelease
+	}
 	return feed.Answer{Release: h.release, Position: h.position}, nil
 }
 
@@ -111,6 +120,7 @@
 	for {
 		h.mu.Lock()
 		a, written, down, changed := feed.Answer{Release: h.release, Position: h.position}, h.releaseRevision, h.down, h.changed
+		invalid := h.invalid
 		if written > after && !down {
 			h.waits++
 		}
@@ -120,6 +130,8 @@
 			return feed.Answer{}, plat.ErrNotFound
 		case after > a.Position.Revision:
 			return feed.Answer{Position: feed.Position{Era: a.Position.Era}}, plat.ErrRevisionUnknown
+		case written > after && invalid:
+			return feed.Answer{Position: a.Position}, errInvalidRelease
 		case written > after:
 			return a, nil
 		}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -150,7 +150,7 @@
 	}
 	n.adminServer = &admin.StatusServer{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
 	w := &watcher{
-		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, region: s.Region, log: n.decisions, metrics: n.metrics,
+		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, region: s.Region, log: n.decisions, logger: n.logger, metrics: n.metrics,
 		startSourceMillis: s.Spread.StartSourceMillis, random: splitRandom(random), self: n.directoryEntry, readRequest: make(chan struct{}, 1),
 	}
 	n.fleet.needSource = w.requestRead
--- a/io/node/source_test.go
+++ b/io/node/source_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hickoryrail/core/ident"
 )
 
 // safeBuffer is a buffer that is safe for concurrent use.
@@ -40,6 +42,13 @@
 	return out
 }
 
+// text returns what was written.
+func (b *safeBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // gauge returns the value of a metric of the node without labels.
 func gauge(t *testing.T, n *Node, name string) float64 {
 	t.Helper()
@@ -99,3 +108,26 @@
 	}
 	is.Equal(sources, []any{sourceStore, "a"})
 }
+
+// TestRefusedReleaseIsShown guards against a release of the source that a node refuses while
+// its log says that the source does not answer, and against a node that misses the next
+// valid one.
+func TestRefusedReleaseIsShown(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	log := &safeBuffer{}
+	h.log = log
+	a, _ := h.start(t, "a")
+	await(t, "the release", a.Ready)
+	h.change(func() { h.invalid = true })
+	h.publish(t)
+	await(t, "the refusal", func() bool { return strings.Contains(log.text(), "Route/r/TimeoutMillis") })
+	time.Sleep(2 * refusedDelayMillis.Duration()) // the release is read again
+	is.Equal(strings.Count(log.text(), "release of the source is refused"), 1)
+	is.Equal(len(log.fieldsOf(reasonSourceLost)), 0)
+	is.Equal(a.Version(), ident.Version(1))
+	h.change(func() { h.invalid = false })
+	h.publish(t)
+	await(t, "the next release", func() bool { return a.Version() == 3 })
+	stopNodes(t, a)
+}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sourcegraph/conc"
 
 	"hickoryrail/core/clock"
@@ -37,6 +38,9 @@
 	heartbeatMillis = 1 * clock.Second
 	// heartbeatEpoch is the epoch of the heartbeats; without a lease there is only one.
 	heartbeatEpoch ident.Epoch = 1
+	// refusedDelayMillis is the time after which a node that has refused a release reads the
+	// source again. It is below the time in which a release must be in force.
+	refusedDelayMillis = 1 * clock.Second
 	// maxReadIntervalMillis bounds the time between reads of the source by a node that
 	// does not wait for changes.
 	maxReadIntervalMillis = 60 * clock.Second
@@ -60,8 +64,10 @@
 	fleet     *fleet
 	region    ident.Region
 	log       logs.Sink
-	metrics   *metrics
-	random    *rand.Rand
+	// logger receives the lines that are no decisions.
+	logger  *log.Logger
+	metrics *metrics
+	random  *rand.Rand
 	// self returns the entry of this node in the directory.
 	self func() member.Seed
 	// startSourceMillis is the time after the start from which the floor may come from
@@ -79,6 +85,8 @@
 	// announcedAt is when it last sent a heartbeat. They belong to run.
 	substitute  bool
 	announcedAt clock.Millis
+	// refusedAt is the position of the last release that was refused. It belongs to run.
+	refusedAt feed.Position
 	// era is the era of the last answer of the source, for join.
 	era atomic.Uint64
 	// entry is the state of the node's entry in the directory. It belongs to join.
@@ -169,12 +177,17 @@
 	default:
 	}
 	a, err := w.source.Newest(readCtx)
-	if err != nil {
+	refused := errors.Is(err, plat.ErrReleaseRefused)
+	if err != nil && !refused {
 		w.failed(ctx, a)
 		return false
 	}
 	out := w.follower.ReadDone(a)
 	w.answered(out)
+	if refused {
+		w.refused(ctx, a, err)
+		return true
+	}
 	w.handleRelease(a.Release)
 	w.fleet.setFloor(a.Release.Version)
 	sleep(ctx, out.DelayMillis.Duration())
@@ -188,6 +201,9 @@
 	case ctx.Err() != nil:
 	case errors.Is(err, plat.ErrRevisionUnknown):
 		w.answered(w.follower.RevisionUnknown(a.Position.Era))
+	case errors.Is(err, plat.ErrReleaseRefused):
+		w.answered(w.follower.WaitDone(w.clock.Now(), a))
+		w.refused(ctx, a, err)
 	case err != nil:
 		w.failed(ctx, a)
 	default:
@@ -207,6 +223,18 @@
 	w.fleet.sourceRelease(r)
 }
 
+// refused handles a release of the source that cannot be used: the release in force stays,
+// and the source is read again after a delay. Each revision is logged once.
+func (w *watcher) refused(ctx context.Context, a feed.Answer, err error) {
+	if a.Position != w.refusedAt {
+		w.refusedAt = a.Position
+		w.fleet.releaseRefused(sourceStore, 0, err)
+		w.logger.WithError(err).WithField("Revision", uint64(a.Position.Revision)).Error("release of the source is refused")
+	}
+	w.follower.RequireRead()
+	sleep(ctx, refusedDelayMillis.Duration())
+}
+
 // failed handles a failed call to the source.
 func (w *watcher) failed(ctx context.Context, a feed.Answer) {
 	w.metrics.sourceErrors.Inc()
--- a/io/plat/source.go
+++ b/io/plat/source.go
@@ -11,7 +11,8 @@
 
 type (
 	// Source provides the operators' newest release. Errors are *result.Error. An answer
-	// that comes with an error holds the era of the source, if it is known.
+	// that comes with an error holds the era of the source, if it is known. One that comes
+	// with ErrReleaseRefused holds the position, because the source has answered.
 	Source interface {
 		// Newest returns the newest release. Version 0 means that there is none yet.
 		Newest(ctx context.Context) (feed.Answer, error)
--- a/io/plat/store.go
+++ b/io/plat/store.go
@@ -44,6 +44,8 @@
 	// ErrRevisionUnknown reports a revision that is older than the platform's history, or
 	// that the platform lost when it was restored from an older copy.
 	ErrRevisionUnknown = errors.New("history does not have the changes after the revision")
+	// ErrReleaseRefused reports a release that the platform holds and that cannot be used.
+	ErrReleaseRefused = errors.New("release is invalid")
 	// ErrNotFound reports an object that does not exist.
 	ErrNotFound = errors.New("object does not exist")
 )
