Bound the memory of all bodies that a node holds

Callers lost the requests that a node carried when it was killed for its memory: 60 answers without end at once, or many large requests.

Cause: only the size of one body had a bound, not their sum. Each body was copied several times, and the pool of responses kept the buffers of failed answers.

A body of known size takes its memory before it is read, others as they are read; requests wait a part of their time and are then refused before they run. Requests and answers have separate parts. Large frames are read and written in pieces that count as progress.

--- a/core/once/dedup.go
+++ b/core/once/dedup.go
@@ -174,6 +174,11 @@
 	d.Tick(now)
 }
 
+// Keeps reports whether a response of a size would be kept.
+func (d *Dedup) Keeps(size ident.Bytes) bool {
+	return size <= d.maxBytes()
+}
+
 // Tick deletes the expired records.
 func (d *Dedup) Tick(now clock.Millis) {
 	for !d.expiring.empty() && d.expiring.first().at <= now {
--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -98,7 +99,7 @@
 func backends() Backends {
 	return Backends{
 		Node: func(_ context.Context, s conf.Settings, stdout io.Writer) error {
-			_, err := io.WriteString(stdout, "node "+string(s.Node))
+			_, err := fmt.Fprintf(stdout, "node %s, memory %d", s.Node, s.Limits.MemoryBytes)
 			return err
 		},
 		Target: func(TargetOptions) StandInTarget { return &fakeTarget{} },
@@ -163,6 +164,8 @@
 		{"help apply", 0, "Examples:", ""},
 		{"settings", 0, "`BodyBytes`", ""},
 		{"node -config " + config, 0, "node a1", ""},
+		{"node -memory-mb 284 -config " + config, 0, "memory 284000000", ""},
+		{"node -memory-mb -1 -config " + config, 2, "", "-memory-mb is negative"},
 		{"node", 2, "", "-config is missing"},
 		{"node -config absent.toml", 1, "", "absent.toml"},
 		{"check -config " + config, 0, "no faults", ""},
--- a/io/cmds/node.go
+++ b/io/cmds/node.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 
+	"hickoryrail/core/ident"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/stub"
 )
 
 const (
+	// bytesPerMegabyte is the unit of -memory-mb.
+	bytesPerMegabyte = 1e6
 	// demoUsage is the help of the demo command.
 	demoUsage = `hickoryrail demo [flags]
 
@@ -37,9 +40,10 @@
 // nodeCommand returns the command that runs a node.
 func nodeCommand(stdout io.Writer, node func(context.Context, conf.Settings, io.Writer) error) *command {
 	var path string
+	var memory float64
 	return &command{
 		name: "node", synopsis: "run a node",
-		usage: `hickoryrail node -config FILE
+		usage: `hickoryrail node -config FILE [-memory-mb N]
 
 Runs a node until SIGINT or SIGTERM, then stops it gracefully: requests in
 flight end first. A second SIGINT ends it at once; a second SIGTERM is
@@ -48,18 +52,27 @@
 Example:
   hickoryrail node -config a1.toml
 `,
-		flags: func(f *flag.FlagSet) { f.StringVar(&path, "config", "", "settings `file` of the node") },
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&path, "config", "", "settings `file` of the node")
+			f.Float64Var(&memory, "memory-mb", 0, "memory of the process in `megabytes`, in place of Limits.MemoryBytes; 0 for that setting")
+		},
 		run: func(ctx context.Context, args []string) error {
 			if err := noArguments(args); err != nil {
 				return err
 			}
-			if path == "" {
+			switch {
+			case path == "":
 				return usageError{"-config is missing"}
+			case !(memory >= 0):
+				return usageError{"-memory-mb is negative"}
 			}
 			s, err := conf.Load(path)
 			if err != nil {
 				return err
 			}
+			if memory > 0 {
+				s.Limits.MemoryBytes = ident.Bytes(memory * bytesPerMegabyte)
+			}
 			stop := reloadOnHangup(ctx, path, s, logs.New(stdout, s.Log.Level))
 			defer stop()
 			return node(ctx, s, stdout)
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -66,6 +66,8 @@
 	Limits struct {
 		BodyBytes   ident.Bytes
 		HeaderBytes ident.Bytes
+		// MemoryBytes is the memory of the process.
+		MemoryBytes ident.Bytes
 		// QueueLength is the number of requests that wait at the gate.
 		QueueLength int
 		// CallerRequestsPerSecond is 0 for no limit.
--- a/io/frame/call.go
+++ b/io/frame/call.go
@@ -220,7 +220,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	c := &connection{transport: t, node: l.node, address: address, conn: conn, writing: make(chan struct{}, 1), waiting: make(map[callID]chan message)}
+	c := &connection{transport: t, node: l.node, address: address, conn: conn, writing: make(chan struct{}, 1), waiting: make(map[callID]waiter)}
 	if err := t.register(c); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/io/frame/codec.go
+++ b/io/frame/codec.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"time"
 )
 
 const (
@@ -39,6 +41,8 @@
 	headerBytes = 5
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
+	// pieceBytes is the size of the pieces in which a large payload is read and written.
+	pieceBytes = 64 << 10
 )
 
 type (
@@ -55,6 +59,13 @@
 		id      callID
 		payload []byte
 	}
+
+	// header is the start of a frame: all but its payload, which has length bytes.
+	header struct {
+		kind   kind
+		id     callID
+		length int
+	}
 )
 
 // errFrame reports bytes that are not a valid frame.
@@ -79,22 +90,91 @@
 	return err == nil && b.Buffered()-lengthBytes >= int(binary.BigEndian.Uint32(prefix))
 }
 
-// read returns the next frame. It returns errFrame if the payload is longer than limit
-// or the kind is unknown.
+// read returns the next frame. It returns errFrame if the payload is longer than limit or
+// the kind is unknown.
 func read(b *bufio.Reader, limit int) (message, error) {
-	var header [lengthBytes + headerBytes]byte
-	if _, err := io.ReadFull(b, header[:]); err != nil {
+	h, err := readHeader(b, limit)
+	if err != nil {
 		return message{}, err
 	}
-	length := int(binary.BigEndian.Uint32(header[:lengthBytes])) - headerBytes
-	m := message{kind: kind(header[lengthBytes]), id: callID(binary.BigEndian.Uint32(header[lengthBytes+1:]))}
-	if length < 0 || length > limit || m.kind < kindHello || m.kind > kindEchoed {
-		return message{}, fmt.Errorf("%w: kind %d with %d bytes", errFrame, m.kind, length)
+	return h.readPayload(b, func(int) {})
+}
+
+// readHeader returns the start of the next frame. It returns errFrame if the payload is
+// longer than limit or the kind is unknown.
+func readHeader(b *bufio.Reader, limit int) (header, error) {
+	var raw [lengthBytes + headerBytes]byte
+	if _, err := io.ReadFull(b, raw[:]); err != nil {
+		return header{}, err
+	}
+	h := header{
+		kind: kind(raw[lengthBytes]), id: callID(binary.BigEndian.Uint32(raw[lengthBytes+1:])),
+		length: int(binary.BigEndian.Uint32(raw[:lengthBytes])) - headerBytes,
 	}
-	if length == 0 {
+	if h.length < 0 || h.length > limit || h.kind < kindHello || h.kind > kindEchoed {
+		return header{}, fmt.Errorf("%w: kind %d with %d bytes", errFrame, h.kind, h.length)
+	}
+	return h, nil
+}
+
+// readPayload reads the payload of a frame. It calls progress after each piece.
+func (h header) readPayload(b *bufio.Reader, progress func(n int)) (message, error) {
+	m := message{kind: h.kind, id: h.id}
+	if h.length == 0 {
 		return m, nil
 	}
-	m.payload = make([]byte, length)
-	_, err := io.ReadFull(b, m.payload)
-	return m, err
+	m.payload = make([]byte, h.length)
+	for rest := m.payload; len(rest) > 0; {
+		piece := rest[:min(len(rest), pieceBytes)]
+		if _, err := io.ReadFull(b, piece); err != nil {
+			return m, err
+		}
+		rest = rest[len(piece):]
+		progress(len(piece))
+	}
+	return m, nil
+}
+
+// discard skips the payload of a frame.
+func (h header) discard(b *bufio.Reader, progress func(n int)) error {
+	for rest := h.length; rest > 0; {
+		n, err := b.Discard(min(rest, pieceBytes))
+		if err != nil {
+			return err
+		}
+		rest -= n
+		progress(n)
+	}
+	return nil
+}
+
+// writeTo writes the frame. A large one is written in pieces, which are not copied, and each
+// piece has writeMillis. It calls progress after each piece but the last.
+func (m message) writeTo(conn net.Conn, progress func(n int)) error {
+	if len(m.payload) <= pieceBytes {
+		return writePiece(conn, m.encode())
+	}
+	start := message{kind: m.kind, id: m.id}.encode()
+	binary.BigEndian.PutUint32(start, uint32(headerBytes+len(m.payload)))
+	if err := writePiece(conn, start); err != nil {
+		return err
+	}
+	rest := m.payload
+	for len(rest) > pieceBytes {
+		if err := writePiece(conn, rest[:pieceBytes]); err != nil {
+			return err
+		}
+		rest = rest[pieceBytes:]
+		progress(pieceBytes)
+	}
+	return writePiece(conn, rest)
+}
+
+// writePiece writes bytes within writeMillis.
+func writePiece(conn net.Conn, piece []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())); err != nil {
+		return err
+	}
+	_, err := conn.Write(piece)
+	return err
 }
--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/peer"
 )
 
@@ -29,9 +31,8 @@
 		// mu guards what follows.
 		mu     sync.Mutex
 		nextID callID
-		// waiting maps each unanswered call to its caller's channel, which has a
-		// buffer for one message.
-		waiting map[callID]chan message
+		// waiting holds the callers of the unanswered calls.
+		waiting map[callID]waiter
 		// failure is the reason for the end of the connection; it is set once.
 		failure error
 		// retired is set once the connection gets no more calls; it then ends with its
@@ -39,6 +40,14 @@
 		retired bool
 	}
 
+	// waiter is the caller of an unanswered call.
+	waiter struct {
+		// answer has a buffer for one message.
+		answer chan message
+		// hold is the memory for the answer.
+		hold *mem.Hold
+	}
+
 	// link is the state for sending to one node: the connection for new calls and
 	// the queue of control messages.
 	link struct {
@@ -81,7 +90,6 @@
 // errWithdrawn. After any other error the frame was not sent completely, and the
 // connection is closed.
 func (c *connection) write(ctx context.Context, m message) error {
-	body := m.encode()
 	select {
 	case c.writing <- struct{}{}:
 	case <-ctx.Done():
@@ -91,16 +99,17 @@
 	if ctx.Err() != nil {
 		return errWithdrawn
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())) // the write reports a closed connection
-	_, err := c.conn.Write(body)
+	// The pieces of a large frame show that the peer reads; its echo waits behind them.
+	err := m.writeTo(c.conn, func(n int) { c.transport.emit(peer.Progress, c, n) })
 	if err != nil {
 		c.fail(err)
 	}
 	return err
 }
 
-// begin registers a call. It returns an error if the connection has ended.
-func (c *connection) begin() (callID, chan message, error) {
+// begin registers a call whose answer uses the memory of hold. It returns an error if the
+// connection has ended.
+func (c *connection) begin(hold *mem.Hold) (callID, chan message, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failure != nil {
@@ -108,7 +117,7 @@
 	}
 	c.nextID++
 	answer := make(chan message, 1)
-	c.waiting[c.nextID] = answer
+	c.waiting[c.nextID] = waiter{answer, hold}
 	return c.nextID, answer, nil
 }
 
@@ -147,8 +156,8 @@
 	c.waiting = nil
 	c.mu.Unlock()
 	_ = c.conn.Close()
-	for _, answer := range waiting {
-		close(answer)
+	for _, w := range waiting {
+		close(w.answer)
 	}
 	c.transport.unregister(c)
 }
@@ -165,29 +174,77 @@
 func (c *connection) receive() {
 	b := bufio.NewReaderSize(c.conn, bufferBytes)
 	for {
-		m, err := read(b, c.transport.BodyBytes)
+		h, err := readHeader(b, c.transport.BodyBytes)
+		if err == nil {
+			err = c.receiveFrame(b, h)
+		}
 		if err != nil {
 			c.fail(err)
 			return
 		}
-		c.transport.emit(peer.Progress, c, headerBytes+len(m.payload))
-		if m.kind == kindControl {
+	}
+}
+
+// receiveFrame reads and delivers the payload of one frame.
+func (c *connection) receiveFrame(b *bufio.Reader, h header) error {
+	progress := func(n int) { c.transport.emit(peer.Progress, c, n) }
+	progress(headerBytes)
+	if h.kind == kindControl {
+		m, err := h.readPayload(b, progress)
+		if err == nil {
 			c.transport.deliverControl(c.node, m.payload)
-			continue
 		}
-		c.mu.Lock()
-		answer := c.waiting[m.id]
-		delete(c.waiting, m.id)
-		c.mu.Unlock()
-		if answer != nil {
-			answer <- m
+		return err
+	}
+	c.mu.Lock()
+	w, waits := c.waiting[h.id]
+	c.mu.Unlock()
+	if !waits {
+		return h.discard(b, progress)
+	}
+	if !c.awaitRoom(w.hold, h.length) {
+		if err := h.discard(b, progress); err != nil {
+			return err
 		}
+		c.deliver(message{kind: kindFailed, id: h.id})
+		return nil
+	}
+	m, err := h.readPayload(b, progress)
+	if err == nil {
+		c.deliver(m)
+	}
+	return err
+}
+
+// awaitRoom takes the memory for an answer, and waits up to answerRoomMillis for it. The
+// connection is read no further meanwhile, and does not count as silent.
+func (c *connection) awaitRoom(hold *mem.Hold, length int) bool {
+	for waited := clock.Millis(0); waited < answerRoomMillis; waited += roomStepMillis {
+		ctx, cancel := context.WithTimeout(context.Background(), roomStepMillis.Duration())
+		err := hold.Take(ctx, mem.Copies*ident.Bytes(length))
+		cancel()
+		if err == nil {
+			return true
+		}
+		c.transport.emit(peer.Progress, c, 1)
+	}
+	return false
+}
+
+// deliver passes an answer to its caller if that still waits.
+func (c *connection) deliver(m message) {
+	c.mu.Lock()
+	w, waits := c.waiting[m.id]
+	delete(c.waiting, m.id)
+	c.mu.Unlock()
+	if waits {
+		w.answer <- m
 	}
 }
 
 // exchange sends a call or an echo and waits for its reply.
 func (c *connection) exchange(ctx context.Context, k kind, body []byte) ([]byte, error) {
-	id, answer, err := c.begin()
+	id, answer, err := c.begin(mem.From(ctx).Answer)
 	if err != nil {
 		return nil, result.NewError(result.NotRun, reasonLost, err)
 	}
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/ident"
 	"hickoryrail/core/intake"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/sock"
 )
 
@@ -35,8 +36,10 @@
 	// writing serializes the writes of frames.
 	writing sync.Mutex
 
-	// received holds the calls that were read and not started yet. Only serve uses it.
+	// received holds the calls that were read and not started yet, and leases their memory.
+	// Only serve uses them.
 	received intake.Queue[callID, message]
+	leases   map[callID]*mem.Lease
 
 	// mu guards cancels.
 	mu sync.Mutex
@@ -79,7 +82,9 @@
 	defer cancel()
 	s := &acceptedConnection{
 		transport: t, conn: conn, node: ident.NodeID(m.payload), ctx: ctx, cancels: make(map[callID]context.CancelFunc),
+		leases: make(map[callID]*mem.Lease),
 	}
+	defer s.releaseReceived()
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
@@ -96,11 +101,9 @@
 	}()
 	probe := sock.NewProbe(conn)
 	for {
-		m, err := read(b, t.BodyBytes)
-		if err != nil {
+		if s.receive(b) != nil {
 			return
 		}
-		s.handle(m)
 		// A slow or paused node reads a call together with its cancellation or the end
 		// of its connection, so calls start only when no further frame is in the buffer
 		// and the peer can still get their answers.
@@ -110,6 +113,53 @@
 	}
 }
 
+// receive reads and handles one frame. A call for which there is no memory in time is
+// refused: its payload is read and not kept.
+func (s *acceptedConnection) receive(b *bufio.Reader) error {
+	ignore := func(int) {}
+	h, err := readHeader(b, s.transport.BodyBytes)
+	if err != nil {
+		return err
+	}
+	if h.kind != kindCall || s.leases[h.id] != nil {
+		m, err := h.readPayload(b, ignore)
+		if err == nil {
+			s.handle(m)
+		}
+		return err
+	}
+	lease := s.transport.Memory.Lease()
+	ctx, cancel := context.WithTimeout(s.ctx, callRoomMillis.Duration())
+	defer cancel()
+	if lease.Request.Take(ctx, mem.Copies*ident.Bytes(h.length)) != nil {
+		s.refuse(h.id)
+		return h.discard(b, ignore)
+	}
+	m, err := h.readPayload(b, ignore)
+	if err != nil {
+		lease.Release()
+		return err
+	}
+	s.leases[h.id] = lease
+	s.handle(m)
+	return nil
+}
+
+// releaseReceived releases the memory of the calls that were not started.
+func (s *acceptedConnection) releaseReceived() {
+	for _, lease := range s.leases {
+		lease.Release()
+	}
+}
+
+// refuse answers a call that was not started.
+func (s *acceptedConnection) refuse(id callID) {
+	s.transport.metrics.refused.Inc()
+	// If the write fails, the caller sees a lost connection and reports MayHaveRun,
+	// which is less precise but not wrong.
+	_ = s.write(message{kind: kindRefused, id: id})
+}
+
 // handle processes one received frame.
 func (s *acceptedConnection) handle(m message) {
 	switch m.kind {
@@ -128,6 +178,8 @@
 func (s *acceptedConnection) cancel(id callID) {
 	if s.received.Cancel(id) {
 		s.transport.metrics.left.Inc()
+		s.leases[id].Release()
+		delete(s.leases, id)
 		return
 	}
 	s.mu.Lock()
@@ -141,6 +193,8 @@
 // call starts a call, or refuses it if the transport is draining or has no OnCall.
 func (s *acceptedConnection) call(m message) {
 	t := s.transport
+	lease := s.leases[m.id]
+	delete(s.leases, m.id)
 	t.mu.Lock()
 	refuse := t.draining || t.OnCall == nil
 	if !refuse {
@@ -148,10 +202,8 @@
 	}
 	t.mu.Unlock()
 	if refuse {
-		t.metrics.refused.Inc()
-		// If the write fails, the caller sees a lost connection and reports MayHaveRun,
-		// which is less precise but not wrong.
-		_ = s.write(message{kind: kindRefused, id: m.id})
+		lease.Release()
+		s.refuse(m.id)
 		return
 	}
 	t.metrics.served.Inc()
@@ -159,11 +211,13 @@
 	s.mu.Lock()
 	s.cancels[m.id] = cancel
 	s.mu.Unlock()
+	id, received := m.id, &m
 	t.group.Go(func() {
-		s.run(ctx, m)
+		s.run(mem.With(ctx, lease), received)
+		lease.Release()
 		cancel()
 		s.mu.Lock()
-		delete(s.cancels, m.id)
+		delete(s.cancels, id)
 		s.mu.Unlock()
 		t.mu.Lock()
 		t.running--
@@ -173,10 +227,15 @@
 
 // run calls the handler and writes its answer, or a failure if it panics or its answer
 // is too large.
-func (s *acceptedConnection) run(ctx context.Context, m message) {
+func (s *acceptedConnection) run(ctx context.Context, m *message) {
 	out := message{kind: kindFailed, id: m.id}
 	var answer []byte
-	if panics.Try(func() { answer = s.transport.OnCall(ctx, s.node, m.payload) }) == nil && len(answer) <= s.transport.BodyBytes {
+	handle := func() {
+		body := m.payload
+		m.payload = nil // the handler owns it, and it can be large
+		answer = s.transport.OnCall(ctx, s.node, body)
+	}
+	if panics.Try(handle) == nil && len(answer) <= s.transport.BodyBytes {
 		out.kind, out.payload = kindAnswer, answer
 	}
 	_ = s.write(out) // if the connection is lost, the caller retries or voids the call on another one
@@ -184,13 +243,9 @@
 
 // write sends one frame. After an error the connection is closed.
 func (s *acceptedConnection) write(m message) error {
-	body := m.encode()
 	s.writing.Lock()
 	defer s.writing.Unlock()
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())); err != nil {
-		return err
-	}
-	_, err := s.conn.Write(body)
+	err := m.writeTo(s.conn, func(int) {})
 	if err != nil {
 		_ = s.conn.Close()
 	}
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -13,6 +13,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/stop"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/peer"
 )
 
@@ -20,11 +21,20 @@
 	// dialMillis bounds the setup of a connection. It is short because a node that
 	// lost power does not answer, and callers have other targets to try.
 	dialMillis = 400 * clock.Millis(1)
-	// writeMillis bounds the write of one frame, for peers that do not read.
+	// writeMillis bounds the write of a frame, or of one piece of a large one, for peers
+	// that do not read.
 	writeMillis = 2 * clock.Second
 	// redialMillis is the pause after a failed dial, during which calls to the same
 	// address fail immediately.
 	redialMillis = 200 * clock.Millis(1)
+	// callRoomMillis bounds the wait for the memory of a received call, during which nothing
+	// else is read from its connection: it is well below the time after which the peer takes
+	// the connection for silent.
+	callRoomMillis = 200 * clock.Millis(1)
+	// answerRoomMillis bounds the wait for the memory of an answer, in steps of
+	// roomStepMillis. It is below writeMillis, after which the peer gives up.
+	answerRoomMillis = 1 * clock.Second
+	roomStepMillis   = 100 * clock.Millis(1)
 	// drainPoll is the interval at which Drain checks for running calls.
 	drainPoll = 5 * time.Millisecond
 	// maxQueued bounds the queue of control messages to one node.
@@ -61,6 +71,8 @@
 		// OnEvent receives the events of dialed connections; it may be nil and must
 		// not block.
 		OnEvent func(peer.Event)
+		// Memory bounds the memory of received calls and answers; nil sets no bound.
+		Memory *mem.Budget
 		// Registry registers the transport's metrics; it may be nil.
 		Registry prometheus.Registerer
 		// BodyBytes bounds each request, answer and control message; 0 selects the
--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/sock"
 )
 
@@ -35,6 +37,8 @@
 		server *Server
 		conn   net.Conn
 		reader *bufio.Reader
+		// metered counts what reader reads of a body without a length.
+		metered *mem.Reader
 		// probe tells whether the caller has closed the connection.
 		probe sock.Probe
 		// pending passes requests to writeResponses in the order in which they were
@@ -59,6 +63,8 @@
 		done chan struct{}
 		// closeAfter is set if the connection closes after this response.
 		closeAfter bool
+		// lease is the memory for the bodies of the request and of its answer.
+		lease *mem.Lease
 	}
 )
 
@@ -73,8 +79,9 @@
 // newConnection returns the state of an accepted connection.
 func newConnection(s *Server, conn net.Conn) *connection {
 	size := min(max(readBufferBytes, int(s.Bounds().HeaderBytes)), 1<<16)
+	metered := &mem.Reader{Conn: conn}
 	return &connection{
-		server: s, conn: conn, reader: bufio.NewReaderSize(conn, size), probe: sock.NewProbe(conn),
+		server: s, conn: conn, reader: bufio.NewReaderSize(metered, size), metered: metered, probe: sock.NewProbe(conn),
 		pending: make(chan *exchange, s.pipeline()),
 	}
 }
@@ -105,7 +112,8 @@
 		// The caller may have closed the connection long before the request was read.
 		c.cancelIfLeft(cancel)
 		wg.Go(func() {
-			c.server.Handler(ctx, ex.rc)
+			c.server.Handler(mem.With(ctx, ex.lease), ex.rc)
+			ex.lease.Request.Release()
 			close(ex.done)
 		})
 	}
@@ -165,24 +173,22 @@
 		return nil, err
 	}
 	b := c.server.Bounds()
-	ex := &exchange{rc: &fasthttp.RequestCtx{}, done: make(chan struct{})}
+	ex := &exchange{rc: &fasthttp.RequestCtx{}, done: make(chan struct{}), lease: c.server.Memory.Lease()}
 	ex.rc.Init2(c.conn, nil, false)
 	c.setReadDeadline(b.HeaderMillis)
 	err := c.skipEmptyLines()
 	if err == nil {
 		err = ex.rc.Request.Header.Read(c.reader)
 	}
-	if err == nil && ex.rc.Request.MayContinue() {
-		_, err = c.conn.Write(continueLine)
-	}
 	if err == nil {
-		c.setReadDeadline(b.BodyMillis)
-		err = ex.rc.Request.ContinueReadBody(c.reader, int(b.BodyBytes), false)
+		err = c.readBody(ex, b)
 	}
 	if err != nil && c.isDisconnect(err) {
+		ex.lease.Release()
 		return nil, err
 	}
 	if !c.accept() {
+		ex.lease.Release()
 		return nil, errClosing
 	}
 	if err != nil {
@@ -192,6 +198,41 @@
 	return ex, nil
 }
 
+// readBody reads the body of a request once there is memory for it. Until then the caller is
+// not read from, so that its writes wait.
+func (c *connection) readBody(ex *exchange, b Bounds) error {
+	length := ex.rc.Request.Header.ContentLength()
+	wait := b.BodyMillis
+	if c.server.RoomMillis != nil && length != 0 {
+		wait = c.server.RoomMillis(ex.rc)
+	}
+	ctx, cancel := c.server.ctx, func() {}
+	if wait > 0 {
+		ctx, cancel = context.WithTimeout(ctx, wait.Duration())
+	}
+	defer cancel()
+	if length > 0 && length <= int(b.BodyBytes) {
+		if err := ex.lease.Request.Take(ctx, mem.Copies*ident.Bytes(length)); err != nil {
+			return err
+		}
+	}
+	if ex.rc.Request.MayContinue() {
+		if _, err := c.conn.Write(continueLine); err != nil {
+			return err
+		}
+	}
+	c.setReadDeadline(b.BodyMillis)
+	if length >= 0 {
+		return ex.rc.Request.ContinueReadBody(c.reader, int(b.BodyBytes), false)
+	}
+	c.metered.Start(ctx, ex.lease.Request)
+	err := ex.rc.Request.ContinueReadBody(c.reader, int(b.BodyBytes), false)
+	if noRoom := c.metered.Stop(); noRoom != nil {
+		return noRoom // err need not wrap it
+	}
+	return err
+}
+
 // isDisconnect reports whether err means that the connection has ended, rather than
 // that a request is malformed.
 func (c *connection) isDisconnect(err error) bool {
@@ -274,15 +315,15 @@
 	closed := false
 	for ex := range c.pending {
 		<-ex.done
-		if closed {
-			continue
-		}
-		closes := c.complete(ex)
-		if err := c.writeResponse(w, ex, closes); err != nil || closes {
-			closed = true
-			cancel()
-			_ = c.conn.Close()
+		if !closed {
+			closes := c.complete(ex)
+			if err := c.writeResponse(w, ex, closes); err != nil || closes {
+				closed = true
+				cancel()
+				_ = c.conn.Close()
+			}
 		}
+		ex.lease.Release()
 	}
 }
 
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -19,6 +19,7 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/option"
+	"hickoryrail/io/mem"
 )
 
 const (
@@ -53,6 +54,12 @@
 		Malformed func(rc *fasthttp.RequestCtx, err error)
 		// Bounds returns the bounds for the next request.
 		Bounds func() Bounds
+		// Memory bounds the memory for the bodies of requests and answers; nil sets no
+		// bound. The context of a handler has its lease.
+		Memory *mem.Budget
+		// RoomMillis returns how long a request whose header was read may wait for the memory
+		// of its body; nil means BodyMillis.
+		RoomMillis func(rc *fasthttp.RequestCtx) clock.Millis
 		// Pipeline bounds the requests that are read ahead of their responses on one
 		// connection; 0 means DefaultPipeline.
 		Pipeline int
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -23,6 +23,7 @@
 	"hickoryrail/io/conf"
 	"hickoryrail/io/frame"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/plat"
 	"hickoryrail/io/proxy"
 	"hickoryrail/io/stats"
@@ -143,6 +144,10 @@
 	if err := n.decisions.Register(n.registry); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
+	n.memory = mem.NewBudget(s.Limits.MemoryBytes, s.Limits.BodyBytes)
+	if err := n.memory.Register(n.registry); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
@@ -168,10 +173,12 @@
 	n.ingress.FailFast = &route.FailFastPolicy{}
 	n.ingress.LingerMillis = hostedLingerMillis
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, h.Settings.Service
+	n.ingress.Memory = n.memory
 	n.gateway.KeptBytes = hostedKeptBytes
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	n.transport = &frame.Transport{
 		Self: h.Settings.Node, Listen: h.Settings.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
+		Memory:    n.memory,
 		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
 		OnCall:    n.onCall,
 		OnEvent:   n.stallMonitor.handleEvent,
@@ -232,6 +239,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(n.memory.SoftLimit))
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -28,6 +28,7 @@
 	"hickoryrail/io/conf"
 	"hickoryrail/io/keys"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/peer"
 	"hickoryrail/io/plat"
 	"hickoryrail/io/proxy"
@@ -74,6 +75,8 @@
 	registry  *prometheus.Registry
 	metrics   *metrics
 	clock     clock.Clock
+	// memory bounds the bodies that a hosted node holds.
+	memory *mem.Budget
 	// tableRandom is the random generator of the member table, which is created once
 	// the peer address is known.
 	tableRandom *rand.Rand
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/wire"
 )
 
@@ -98,6 +99,8 @@
 // picker.
 func (in *Ingress) attempt(ctx context.Context, c *call, choice route.Choice, number int) *wire.Response {
 	in.metrics.attempts.Inc()
+	lease := mem.From(ctx).Attempt()
+	ctx = mem.With(ctx, lease)
 	sent := in.Clock.Now()
 	r := c.request
 	r.ID = ident.RequestID(c.id + "-" + strconv.Itoa(number))
@@ -128,6 +131,9 @@
 		o.Leaving = in.Dialect.statesLeaving(resp)
 	}
 	o.Verdict = resp.Verdict
+	if resp.Verdict != result.Ran {
+		lease.Answer.Release()
+	}
 	in.mu.Lock()
 	in.Picker.Done(now, choice.Target.ID, o)
 	if r.FailFast && o.Verdict != result.MayHaveRun {
@@ -148,6 +154,7 @@
 		return nil, err
 	}
 	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
+	mem.From(ctx).Answer.Shrink(ident.Bytes(len(body))) // what is decoded shares no memory with it
 	if err != nil || a.Response == nil {
 		return nil, result.NewError(result.MayHaveRun, reasonMalformed, err)
 	}
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -90,7 +90,7 @@
 	g.rescheduleTick()
 	resp.Load = g.gate.Load()
 	var kept []byte
-	if keep && resp.Verdict == result.Ran {
+	if keep && resp.Verdict == result.Ran && g.dedup.Keeps(ident.Bytes(len(resp.Body))) {
 		// The slot is already released and mu is not held, so encoding delays no
 		// other call.
 		g.mu.Unlock()
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -15,6 +15,7 @@
 	"hickoryrail/core/option"
 	"hickoryrail/core/result"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/wire"
 )
 
@@ -30,7 +31,7 @@
 	// measured.
 	DefaultRunMillis = 10 * clock.Millis(1)
 	// DefaultOccupiedMillis bounds how long a slot that the target announced as in
-	// use counts as occupied; no request lasts longer than the largest route timeout.
+	// use counts as occupied; few requests last longer.
 	DefaultOccupiedMillis = 2 * clock.Minute
 	// DefaultMaxRecords is enough for 4,300 calls/s over the default KeepMillis of
 	// once.Dedup.
@@ -229,7 +230,9 @@
 // OnCall answers one call stream of another node. Input that does not decode is
 // answered with NotRun and has no effect.
 func (g *Gateway) OnCall(ctx context.Context, _ ident.NodeID, body []byte) []byte {
-	switch c, err := wire.DecodeCall(body, g.Limits.CallBytes()); {
+	c, err := wire.DecodeCall(body, g.Limits.CallBytes())
+	mem.From(ctx).Request.Shrink(ident.Bytes(len(body))) // what is decoded shares no memory with it
+	switch {
 	case err != nil:
 		return encode(wire.Answer{Response: &wire.Response{Verdict: result.NotRun, Reason: reasonMalformed}})
 	case c.Void != nil:
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -18,12 +18,14 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/limit"
+	"hickoryrail/core/model"
 	"hickoryrail/core/option"
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
 	"hickoryrail/io/httpd"
 	"hickoryrail/io/logs"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/plat"
 )
 
@@ -35,6 +37,10 @@
 	readMillis = 30 * clock.Second
 	// idleCallerMillis is the time after which an idle caller's connection is closed.
 	idleCallerMillis = clock.Minute
+	// maxRoomMillis and roomShare bound the wait for the memory of a request body, the latter
+	// as a share of the caller's time: callers give up a request that is not read for longer.
+	maxRoomMillis = 800 * clock.Millis(1)
+	roomShare     = 0.25
 	// maxCallerIDBytes bounds the caller's request id as it appears in request ids
 	// and logs.
 	maxCallerIDBytes = 64
@@ -50,6 +56,7 @@
 	reasonBody      = "request body is too large"
 	reasonHeader    = "request header is too large"
 	reasonSlowBody  = "request did not arrive in time"
+	reasonNoMemory  = "node has no memory for the request body"
 	reasonKeyLength = "Idempotency-Key is not 1 to 255 bytes"
 	reasonRate      = "caller sends too many requests"
 	reasonNoStore   = "node has no store for idempotency keys"
@@ -85,6 +92,9 @@
 		// refused.
 		Store  plat.Store
 		Limits Limits
+		// Memory bounds the memory for the bodies of requests and answers; nil sets no
+		// bound.
+		Memory *mem.Budget
 		// FailFast decides which attempts are refused at once unless a slot is free
 		// now or soon; with nil, all attempts may wait at their gate.
 		FailFast *route.FailFastPolicy
@@ -164,7 +174,7 @@
 	in.listener = lingerListener{listener}
 	in.openedAt = in.Clock.Now()
 	in.Dialect = in.Dialect.withDefaults()
-	in.server = &httpd.Server{Handler: in.handle, Malformed: in.replyMalformed, Bounds: in.bounds}
+	in.server = &httpd.Server{Handler: in.handle, Malformed: in.replyMalformed, Bounds: in.bounds, Memory: in.Memory, RoomMillis: in.roomMillis}
 	return nil
 }
 
@@ -194,6 +204,15 @@
 	return b
 }
 
+// roomMillis returns how long a request may wait for the memory of its body.
+func (in *Ingress) roomMillis(ctx *fasthttp.RequestCtx) clock.Millis {
+	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.TimeoutHeader), model.MaxTimeoutMillis)
+	if !ok {
+		return maxRoomMillis // the request is refused in any case
+	}
+	return min(left*roomShare, maxRoomMillis)
+}
+
 // Address returns the address of the listener.
 func (in *Ingress) Address() string {
 	return in.listener.Addr().String()
--- a/io/proxy/reply.go
+++ b/io/proxy/reply.go
@@ -8,6 +8,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/result"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/wire"
 )
 
@@ -60,6 +61,8 @@
 		reason = reasonHeader
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		reason = reasonBody
+	case errors.Is(err, mem.ErrNoRoom):
+		reason = reasonNoMemory
 	case errors.As(err, &timeout) && timeout.Timeout():
 		reason = reasonSlowBody
 	}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -47,7 +47,7 @@
 			HasGoal: r.GoalMillis > 0,
 			Method:  string(h.Method()), URI: append([]byte(nil), uri...),
 			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
-			Body:    append([]byte(nil), ctx.Request.Body()...),
+			Body:    ctx.Request.SwapBody(nil), // the server does not use the request again
 		},
 	}
 	var id []byte
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -1,11 +1,9 @@
 package proxy
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -18,6 +16,7 @@
 	"hickoryrail/core/report"
 	"hickoryrail/core/result"
 	"hickoryrail/core/stop"
+	"hickoryrail/io/mem"
 	"hickoryrail/io/sock"
 	"hickoryrail/io/wire"
 )
@@ -52,6 +51,7 @@
 	reasonUnexecuted   = "target did not run the request"
 	reasonUnidentified = "answer does not identify its request"
 	reasonUnsigned     = "answer is not the target's whole one"
+	reasonAnswerMemory = "node has no memory for the target's answer"
 )
 
 type (
@@ -75,6 +75,8 @@
 		net.Conn
 		probe     sock.Probe
 		sentBytes int
+		// metered reads from the connection and takes memory for bodies.
+		metered mem.Reader
 		// used is set once the connection has carried a request.
 		used bool
 		// refused holds the ids of the requests that were refused on this connection, at
@@ -82,25 +84,6 @@
 		// the earlier one.
 		refused [][]byte
 	}
-
-	// exchange is one request on one connection.
-	exchange struct {
-		conn     *targetConn
-		req      *fasthttp.Request
-		resp     *fasthttp.Response
-		deadline time.Time
-		// id is the caller's id of the request, which the response repeats; empty if
-		// the dialect has none.
-		id []byte
-		// first is set if the connection has carried no other request.
-		first bool
-		// owned is set if the response surely belongs to the request.
-		owned bool
-		// bodyToEOF is set if the response body ended with its connection.
-		bodyToEOF bool
-		// stray counts the responses to other requests that preceded it.
-		stray int
-	}
 )
 
 var (
@@ -151,7 +134,12 @@
 		_ = c.Close()
 		return nil, errNotTCP
 	}
-	return &targetConn{Conn: c, probe: sock.NewProbe(tcp)}, nil
+	return &targetConn{Conn: c, metered: mem.Reader{Conn: c}, probe: sock.NewProbe(tcp)}, nil
+}
+
+// Read reads bytes of an answer.
+func (c *targetConn) Read(p []byte) (int, error) {
+	return c.metered.Read(p)
 }
 
 // Write counts the bytes that the kernel accepted.
@@ -224,13 +212,18 @@
 func (t *target) exchange(ctx context.Context, conn *targetConn, r *wire.Request, sentAt clock.Millis, until time.Time) (*wire.Response, bool, error) {
 	x := exchange{
 		conn: conn, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), deadline: until,
-		id: t.dialect.requestID(r), first: !conn.used,
+		id: t.dialect.requestID(r), first: !conn.used, hold: mem.From(ctx).Answer,
 	}
 	defer fasthttp.ReleaseRequest(x.req)
 	defer fasthttp.ReleaseResponse(x.resp)
+	defer x.dropBody()
+	var cancel context.CancelFunc
+	x.ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), until)
+	defer cancel()
 	unwatch := context.AfterFunc(ctx, func() {
 		if r.Idempotent || errors.Is(context.Cause(ctx), stop.ErrStopped) {
 			_ = conn.SetDeadline(time.Unix(1, 0))
+			cancel()
 		}
 	})
 	clean, err := t.roundTrip(&x, r)
@@ -253,11 +246,11 @@
 	if !t.dialect.isSigned(x.resp.StatusCode(), x.resp.Header.Peek) {
 		return nil, false, result.NewError(result.MayHaveRun, reasonUnsigned, nil)
 	}
-	// The response is copied, since x.resp goes back to its pool.
+	// The headers are copied, since x.resp goes back to its pool.
 	resp := &wire.Response{
 		Verdict: result.Ran, Status: x.resp.StatusCode(),
 		Headers: copyHeaders(x.resp.Header.All(), x.resp.Header.Peek("Connection"), nil),
-		Body:    bytes.Clone(x.resp.Body()),
+		Body:    x.takeBody(),
 	}
 	if x.resp.SkipBody {
 		resp.ContentLength = max(x.resp.Header.ContentLength(), 0)
@@ -296,61 +289,13 @@
 		if x.stray++; x.stray > maxStray {
 			return false, errStray
 		}
+		x.dropBody()
 		x.resp.Reset()
 		x.resp.SkipBody = r.Method == fasthttp.MethodHead
 	}
 	return !x.bodyToEOF && x.stray == 0 && b.Buffered() == 0, nil
 }
 
-// read reads the final response. A body that ends with the connection looks complete
-// even when it was cut, so it is refused unless allowEOF indicates that the dialect has
-// a signature, which callers check.
-func (x *exchange) read(b *bufio.Reader, limit int, allowEOF bool) error {
-	h := &x.resp.Header
-	for interim := 0; ; interim++ {
-		if err := h.Read(b); err != nil {
-			return err
-		}
-		if h.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-		if h.StatusCode() == fasthttp.StatusSwitchingProtocols || interim == maxInterim {
-			return errInterim
-		}
-	}
-	length := h.ContentLength()
-	if x.resp.SkipBody || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
-		return nil
-	}
-	if length == identity && !allowEOF {
-		return errNoLength
-	}
-	if length == identity {
-		x.bodyToEOF = true
-		return x.readBodyToEOF(b, limit)
-	}
-	if err := x.resp.ReadBody(b, limit); err != nil {
-		return err
-	}
-	if length == chunked {
-		return h.ReadTrailer(b)
-	}
-	return nil
-}
-
-// readBodyToEOF reads a body that ends with the connection. A reset is an error.
-func (x *exchange) readBodyToEOF(b *bufio.Reader, limit int) error {
-	body, err := io.ReadAll(io.LimitReader(b, int64(limit)+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > limit {
-		return fasthttp.ErrBodyTooLarge
-	}
-	x.resp.SetBodyRaw(body)
-	return nil
-}
-
 // fillRequest sets req to the HTTP request that r describes.
 func (t *target) fillRequest(req *fasthttp.Request, r *wire.Request, left time.Duration) {
 	req.Header.SetMethod(r.Method)
@@ -371,29 +316,6 @@
 	req.SetBodyRaw(r.Body)
 }
 
-// resultError returns the *result.Error of a failed exchange. If no byte was sent,
-// the target cannot have run the request. After that the verdict is MayHaveRun even
-// if the connection was closed while idle: the target may have read the request
-// before it closed the connection.
-func (x *exchange) resultError(ctx context.Context, err error) error {
-	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case x.conn.sentBytes == 0:
-		return result.NewError(result.NotRun, reasonNoBytes, err)
-	case !time.Now().Before(x.deadline):
-		return result.NewError(result.MayHaveRun, reasonDeadline, err)
-	case ctx.Err() != nil:
-		return result.NewError(result.MayHaveRun, leftReason(ctx), err)
-	case errors.Is(err, errSeveralIDs):
-		return result.NewError(result.MayHaveRun, reasonUnidentified, err)
-	case errors.Is(err, errNoLength):
-		return result.NewError(result.MayHaveRun, reasonNoLength, err)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
-		return result.NewError(result.MayHaveRun, reasonAnswerSize, err)
-	}
-	return result.NewError(result.MayHaveRun, reasonTargetLost, err)
-}
-
 // close closes the idle connections.
 func (t *target) close() {
 	t.client.CloseIdleConnections()
