io/httpd: write interim answers in their turn

Cause: the goroutine that reads requests wrote the interim answer itself, beside the one that writes the answers.

Evidence: TestContinueBehindResponses fails on the code before: the interim answer comes before the answer to the first request. So does TestNoContinueForRefusedBody: the caller is asked for a body that is refused afterwards.

Change: interim answers take their turn among the answers. A body of refused length gets the final answer instead, and callers of HTTP/1.0 get no interim answer.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -41,9 +41,11 @@
 		metered *mem.Reader
 		// probe tells whether the caller has closed the connection.
 		probe sock.Probe
-		// pending passes requests to writeResponses in the order in which they were
-		// read.
+		// pending passes requests and interim responses to writeResponses, in order.
 		pending chan *exchange
+		// cancel ends the contexts of the connection's requests. Only serve and what it
+		// calls use it.
+		cancel context.CancelFunc
 
 		// mu guards the following fields.
 		mu sync.Mutex
@@ -65,16 +67,14 @@
 		closeAfter bool
 		// lease is the memory for the bodies of the request and of its answer.
 		lease *mem.Lease
+		// interim is set for an interim response, which has no request of its own. It is
+		// closed once the response was written, or will not be.
+		interim chan struct{}
 	}
 )
 
-var (
-	// continueLine is the interim response to a caller that waits for it before it
-	// sends the body.
-	continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
-	// errClosing reports a connection that accepts no more requests.
-	errClosing = errors.New("connection accepts no more requests")
-)
+// errClosing reports a connection that accepts no more requests.
+var errClosing = errors.New("connection accepts no more requests")
 
 // newConnection returns the state of an accepted connection.
 func newConnection(s *Server, conn net.Conn) *connection {
@@ -90,6 +90,7 @@
 func (c *connection) serve() {
 	defer c.server.remove(c)
 	ctx, cancel := context.WithCancel(c.server.ctx)
+	c.cancel = cancel
 	var wg conc.WaitGroup
 	answered := make(chan struct{})
 	wg.Go(func() {
@@ -104,13 +105,13 @@
 			}
 			break
 		}
-		c.enqueue(ex, cancel)
+		c.enqueue(ex)
 		if ex.closeAfter {
 			close(ex.done) // the response to a malformed request is already complete
 			break
 		}
 		// The caller may have closed the connection long before the request was read.
-		c.cancelIfLeft(cancel)
+		c.cancelIfLeft()
 		wg.Go(func() {
 			c.server.Handler(mem.With(ctx, ex.lease), ex.rc)
 			ex.lease.Request.Release()
@@ -118,7 +119,7 @@
 		})
 	}
 	close(c.pending)
-	c.watch(answered, cancel)
+	c.watch(answered)
 	wg.Wait()
 	cancel()
 	_ = c.conn.Close()
@@ -126,7 +127,7 @@
 
 // enqueue passes a request to writeResponses. While it waits for room in the pipeline,
 // it checks whether the caller has left.
-func (c *connection) enqueue(ex *exchange, cancel context.CancelFunc) {
+func (c *connection) enqueue(ex *exchange) {
 	select {
 	case c.pending <- ex:
 		return
@@ -139,30 +140,30 @@
 		case c.pending <- ex:
 			return
 		case <-t.C:
-			c.cancelIfLeft(cancel)
+			c.cancelIfLeft()
 		}
 	}
 }
 
-// watch checks whether the caller has left until every request is answered.
-func (c *connection) watch(answered <-chan struct{}, cancel context.CancelFunc) {
+// watch checks whether the caller has left until done is closed.
+func (c *connection) watch(done <-chan struct{}) {
 	t := time.NewTicker(leftPollInterval)
 	defer t.Stop()
 	for {
 		select {
-		case <-answered:
+		case <-done:
 			return
 		case <-t.C:
-			c.cancelIfLeft(cancel)
+			c.cancelIfLeft()
 		}
 	}
 }
 
 // cancelIfLeft cancels the requests of the connection if the caller has closed it.
 // Bytes that are unread hide the close.
-func (c *connection) cancelIfLeft(cancel context.CancelFunc) {
+func (c *connection) cancelIfLeft() {
 	if c.probe.Peek() == sock.Ended {
-		cancel()
+		c.cancel()
 	}
 }
 
@@ -216,10 +217,11 @@
 			return err
 		}
 	}
-	if ex.rc.Request.MayContinue() {
-		if _, err := c.conn.Write(continueLine); err != nil {
-			return err
-		}
+	if length > int(b.BodyBytes) {
+		return fasthttp.ErrBodyTooLarge // the final response, in place of an interim one
+	}
+	if ex.rc.Request.MayContinue() && ex.rc.Request.Header.IsHTTP11() {
+		c.sendContinue()
 	}
 	c.setReadDeadline(b.BodyMillis)
 	if length >= 0 {
@@ -314,6 +316,11 @@
 	w := bufio.NewWriterSize(c.conn, writeBufferBytes)
 	closed := false
 	for ex := range c.pending {
+		if ex.interim != nil {
+			closed = closed || c.writeContinue(w) != nil
+			close(ex.interim)
+			continue
+		}
 		<-ex.done
 		if !closed {
 			closes := c.complete(ex)
@@ -354,15 +361,20 @@
 		}
 	}
 	resp.SkipBody = resp.SkipBody || ex.rc.IsHead()
-	if d := c.server.Bounds().BodyMillis; d > 0 {
-		_ = c.conn.SetWriteDeadline(time.Now().Add(d.Duration())) // on a closed connection the write fails
-	}
+	c.setWriteDeadline()
 	if err := resp.Write(w); err != nil {
 		return err
 	}
 	return w.Flush()
 }
 
+// setWriteDeadline sets the deadline of the next response.
+func (c *connection) setWriteDeadline() {
+	if d := c.server.Bounds().BodyMillis; d > 0 {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(d.Duration())) // on a closed connection the write fails
+	}
+}
+
 // setReadDeadline sets the deadline of the next reads to d from now; 0 means none.
 func (c *connection) setReadDeadline(d clock.Millis) {
 	var at time.Time
--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -298,3 +298,56 @@
 		t.Fatal("Serve did not return")
 	}
 }
+
+// TestContinueBehindResponses guards against an interim response that is written before the
+// response to an earlier request, or into its body, while the caller reads slowly.
+func TestContinueBehindResponses(t *testing.T) {
+	is := is.New(t)
+	const largeBytes = 8 << 20
+	release := make(chan struct{})
+	f := start(t, func(_ context.Context, rc *fasthttp.RequestCtx) {
+		if rc.IsGet() {
+			<-release
+			rc.SetBody(make([]byte, largeBytes))
+			return
+		}
+		rc.SetBody(rc.PostBody())
+	})
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, get("/1")+get("/2")+"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the requests are read while the first one runs
+	close(release)
+	time.Sleep(50 * time.Millisecond) // the first response fills the buffers of the connection
+	for range 2 {
+		body, resp := readResponse(t, b)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(body == string(make([]byte, largeBytes)))
+	}
+	line, err := b.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	_, err = b.ReadString('\n')
+	is.NoErr(err)
+	_, err = io.WriteString(c, "ab")
+	is.NoErr(err)
+	body, _ := readResponse(t, b)
+	is.Equal(body, "ab")
+}
+
+// TestNoContinueForRefusedBody guards against a caller that is asked for a body that the
+// server refuses, and against an interim response to a caller that cannot know it.
+func TestNoContinueForRefusedBody(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(_ context.Context, rc *fasthttp.RequestCtx) { rc.SetBody(rc.PostBody()) })
+	c, b := f.dial(t)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 99999999\r\n\r\n")
+	is.NoErr(err)
+	_, resp := readResponse(t, b)
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	c, b = f.dial(t)
+	_, err = io.WriteString(c, "POST / HTTP/1.0\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab")
+	is.NoErr(err)
+	body, _ := readResponse(t, b)
+	is.Equal(body, "ab")
+}
