io/proxy: forward the path of an absolute request target as it was sent

Cause: for such a target the node forwarded the library's normalized form, and compared that with itself in its check against ambiguous paths.

Evidence: on the code before, TestRequestTargetIsForwarded fails for all 39 absolute targets, and TestRequestTargetIsRefused for those with dot segments.

Change: one function splits the target as RFC 9112 has it and keeps its bytes; the authority counts as host; other forms and fragments are refused.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -51,6 +51,7 @@
 	reasonNoView    = "node has no configuration yet"
 	reasonNoRoute   = "no route for the path"
 	reasonPath      = "path is ambiguous"
+	reasonTarget    = "request target is not in origin or absolute form"
 	reasonTimeout   = "Request-Timeout-Millis is not a positive number"
 	reasonRequest   = "request is malformed"
 	reasonBody      = "request body is too large"
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -152,7 +152,7 @@
 }
 
 // newFleet starts one gateway per target.
-func newFleet(t *testing.T, slots int, targets ...*fakeTarget) *fleet {
+func newFleet(t testing.TB, slots int, targets ...*fakeTarget) *fleet {
 	f := &fleet{gateways: make(map[ident.NodeID]*Gateway)}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -183,7 +183,7 @@
 }
 
 // newIngress starts an ingress in front of a fleet.
-func newIngress(t *testing.T, f *fleet) *Ingress {
+func newIngress(t testing.TB, f *fleet) *Ingress {
 	random := rand.New(rand.NewPCG(1, 2))
 	in := &Ingress{
 		Self: "ingress", Listen: "127.0.0.1:0", Clock: clock.NewSystem(), Peers: f,
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -12,7 +13,6 @@
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
-	"hickoryrail/core/view"
 	"hickoryrail/io/wire"
 )
 
@@ -27,10 +27,11 @@
 	if v == nil {
 		return nil, notRun(reasonNoView)
 	}
-	r, uri, refusal := routeOf(v, ctx)
+	r, target, refusal := routeOf(v, ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
+	ctx.Request.Header.SetHostBytes(target.host) // the authority of an absolute target counts
 	timeout := min(left, r.TimeoutMillis)
 	if len(ctx.Request.Header.Peek(headerIdempotencyKey)) > maxKeyBytes {
 		return nil, notRun(reasonKeyLength)
@@ -45,7 +46,7 @@
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
 			HasGoal: r.GoalMillis > 0,
-			Method:  string(h.Method()), URI: append([]byte(nil), uri...),
+			Method:  string(h.Method()), URI: bytes.Clone(target.uri),
 			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
 			Body:    ctx.Request.SwapBody(nil), // the server does not use the request again
 		},
@@ -68,38 +69,6 @@
 	return c, nil
 }
 
-// routeOf returns the route and the URI to forward. It refuses a path whose
-// normalized form matches another route: the target might handle the request by that
-// form, under the other route, whose retry rules differ.
-func routeOf(v *view.View, ctx *fasthttp.RequestCtx) (model.Route, []byte, *wire.Response) {
-	uri := ctx.Request.Header.RequestURI()
-	if len(uri) == 0 || uri[0] != '/' {
-		uri = ctx.URI().RequestURI() // absolute form
-	}
-	path, normalized := string(pathOf(uri)), string(ctx.Path())
-	host := string(ctx.Request.Header.Host())
-	r, ok := v.Route(host, path)
-	if path != normalized {
-		if other, found := v.Route(host, normalized); found != ok || other.Name != r.Name {
-			return model.Route{}, nil, notRun(reasonPath)
-		}
-	}
-	if !ok {
-		return model.Route{}, nil, notRun(reasonNoRoute)
-	}
-	return r, uri, nil
-}
-
-// pathOf returns the path of an origin-form URI.
-func pathOf(uri []byte) []byte {
-	for i, c := range uri {
-		if c == '?' || c == '#' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
 // timeoutOf returns the timeout that the header states, but at most limit; without a
 // header it returns limit. The second result is false for a header that is not a
 // positive number.
--- a/io/proxy/status.go
+++ b/io/proxy/status.go
@@ -14,6 +14,7 @@
 var statusByReason = map[string]int{
 	reasonNoRoute:         fasthttp.StatusNotFound,
 	reasonPath:            fasthttp.StatusBadRequest,
+	reasonTarget:          fasthttp.StatusBadRequest,
 	reasonTimeout:         fasthttp.StatusBadRequest,
 	reasonRequest:         fasthttp.StatusBadRequest,
 	reasonKeyLength:       fasthttp.StatusBadRequest,
