io/proxy: settle remote calls at the end of a planned stop

Callers of a stopping node lost their connection without an answer if the node was just voiding their request, and got 502 for requests that waited at the gate of another node and had not run.

Cause: a void was bound to the deadline of its request and not to the stop, and a call that ends with the stop was not voided at all.

Evidence: on the code before, TestVoidDoesNotHoldStop sees EOF, and TestEndOfDrainSettlesRemoteCalls MayHaveRun for a request that never runs.

Change: a void ends with the stop; what has no outcome then is voided once more for at most 100 ms.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 	"hickoryrail/core/result"
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
+	"hickoryrail/core/stop"
 	"hickoryrail/core/view"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/mem"
@@ -163,7 +165,7 @@
 
 // resolveUnanswered returns the outcome of an attempt without a response from its
 // gate. An attempt that is not idempotent and may have run is voided on a fresh
-// connection while there is time.
+// connection while there is time, and for a short time also when the node stops.
 func (in *Ingress) resolveUnanswered(c *call, t view.Target, r *wire.Request, err error) *wire.Response {
 	resp := &wire.Response{Verdict: result.Of(err), Reason: result.Reason(err)}
 	now := in.Clock.Now()
@@ -175,29 +177,48 @@
 		resp.Reason = reasonDeadline
 		return resp
 	}
-	if r.Idempotent || c.ctx.Err() != nil {
+	if r.Idempotent {
 		return resp
 	}
+	var settled *wire.Response
+	if c.ctx.Err() == nil {
+		settled = in.void(c.ctx, t, r, c.deadline-now)
+	}
+	if settled == nil && errors.Is(context.Cause(c.ctx), stop.ErrStopped) {
+		settled = in.void(context.WithoutCancel(c.ctx), t, r, min(c.deadline-now, stopVoidMillis))
+	}
+	switch {
+	case settled == nil:
+		return resp
+	case settled.Verdict == result.NotRun && settled.Reason == reasonVoided:
+		in.record(logs.Retry, in.Clock.Now(), c, r.Attempt, t.ID, result.NotRun, reasonVoided)
+		resp.Verdict = result.NotRun
+		return resp
+	}
+	return settled
+}
+
+// void asks a gate within left to never run an attempt. It returns the outcome of the
+// attempt, or nil if that is still unknown.
+func (in *Ingress) void(ctx context.Context, t view.Target, r *wire.Request, left clock.Millis) *wire.Response {
 	in.metrics.voids.Inc()
-	left := c.deadline - now
-	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	v := wire.Void{ID: r.ID, Gate: r.Gate, RemainingMillis: max(left-min(hopReserveMillis, left*maxHopReserveShare), 0)}
 	body, err := in.Peers.CallFresh(ctx, t.Node, t.Address, encode(wire.Call{Void: &v}))
 	if err != nil {
-		return resp
+		return nil
 	}
 	a, err := wire.DecodeAnswer(body, in.Limits.CallBytes())
 	switch {
 	case err != nil:
-		return resp
+		return nil
 	case a.Response != nil:
 		return a.Response
 	case a.Voided.Verdict == result.NotRun:
-		in.record(logs.Retry, in.Clock.Now(), c, r.Attempt, t.ID, result.NotRun, reasonVoided)
-		resp.Verdict = result.NotRun
+		return notRun(reasonVoided)
 	}
-	return resp
+	return nil
 }
 
 // failedAtTarget reports whether a gate's response counts as a failure of its target.
--- a/io/proxy/drain.go
+++ b/io/proxy/drain.go
@@ -22,6 +22,8 @@
 	// abandonMillis bounds the time after the end of a drain in which the requests that
 	// are still in flight are answered.
 	abandonMillis = 150 * clock.Millis(1)
+	// stopVoidMillis bounds the void of an attempt that is in flight then.
+	stopVoidMillis = 100 * clock.Millis(1)
 )
 
 // plannedStop is a planned stop and the instant at which it was requested.
--- a/io/proxy/drain_test.go
+++ b/io/proxy/drain_test.go
@@ -181,6 +181,78 @@
 	is.Equal(target.runCount("waits"), 0)
 }
 
+// TestEndOfDrainSettlesRemoteCalls guards against a stop that says of a call which waits at
+// the gate of another node that it may have run, so that its caller cannot send it again.
+func TestEndOfDrainSettlesRemoteCalls(t *testing.T) {
+	is := is.New(t)
+	target := newFakeTarget(t)
+	f := newFleet(t, 1, target)
+	f.intercept = func(ctx context.Context, g *Gateway, body []byte) ([]byte, error) {
+		answer := make(chan []byte, 1)
+		go func() { answer <- g.OnCall(context.Background(), "ingress", bytes.Clone(body)) }()
+		select {
+		case a := <-answer:
+			return a, nil
+		case <-ctx.Done(): // as the transport does
+			return nil, result.NewError(result.MayHaveRun, reasonGaveUp, ctx.Err())
+		}
+	}
+	in := newIngress(t, f)
+	verdicts := make(map[string]chan string)
+	for i, body := range []string{"runs", "waits"} {
+		verdicts[body] = make(chan string, 1)
+		go func() {
+			resp, _, err := send(&http.Client{}, in, "/order/hold", body)
+			if err != nil {
+				verdicts[body] <- err.Error()
+				return
+			}
+			verdicts[body] <- resp.Header.Get(headerVerdict)
+		}()
+		for int(target.open.Load())+f.gateways["node-0"].Load().Queued <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(in.Drain(ctx) != nil)
+	is.Equal(<-verdicts["runs"], "MayHaveRun")
+	is.Equal(<-verdicts["waits"], "NotRun")
+	is.Equal(target.runCount("waits"), 0)
+	close(target.release)
+}
+
+// TestVoidDoesNotHoldStop guards against a request whose connection is cut at the end of a
+// stop without an answer, because a void of it is in progress on a silent connection.
+func TestVoidDoesNotHoldStop(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, newFakeTarget(t))
+	voiding := make(chan struct{}, 8)
+	f.intercept = func(context.Context, *Gateway, []byte) ([]byte, error) {
+		return nil, result.NewError(result.MayHaveRun, "connection was lost", nil)
+	}
+	f.interceptFresh = func(ctx context.Context, _ *Gateway, _ []byte) ([]byte, error) {
+		voiding <- struct{}{}
+		<-ctx.Done()
+		return nil, result.NewError(result.MayHaveRun, "deadline passed", ctx.Err())
+	}
+	in := newIngress(t, f)
+	verdict := make(chan string, 1)
+	go func() {
+		resp, _, err := send(&http.Client{}, in, "/order/echo", "lost")
+		if err != nil {
+			verdict <- err.Error()
+			return
+		}
+		verdict <- resp.Header.Get(headerVerdict)
+	}()
+	<-voiding
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(in.Drain(ctx) != nil)
+	is.Equal(<-verdict, "MayHaveRun")
+}
+
 // TestStopRefusesWhatDoesNotFit guards against a stopping node that accepts a request
 // which it expects to outlast the stop.
 func TestStopRefusesWhatDoesNotFit(t *testing.T) {
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -39,6 +39,8 @@
 		view     *view.View
 		// intercept, if set, replaces the delivery of a call.
 		intercept func(ctx context.Context, g *Gateway, body []byte) ([]byte, error)
+		// interceptFresh does the same for calls on a fresh connection.
+		interceptFresh func(ctx context.Context, g *Gateway, body []byte) ([]byte, error)
 	}
 
 	// fakeTarget is an HTTP target whose behaviour is chosen by the request's path.
@@ -65,6 +67,9 @@
 }
 
 func (f *fleet) CallFresh(ctx context.Context, to ident.NodeID, _ string, body []byte) ([]byte, error) {
+	if f.interceptFresh != nil {
+		return f.interceptFresh(ctx, f.gateways[to], body)
+	}
 	return f.gateways[to].OnCall(ctx, "ingress", bytes.Clone(body)), nil
 }
 
