io/proxy: let refusals reach callers that send a large body

Callers of a body that was refused while they sent it could lose the refusal: the connection was reset after 8 MiB or 0.2 s of the rest.

Evidence: TestRefusalOfLargeBodyArrives, 32 MiB, on the code before: broken pipe in place of the 413.

Change: the rest is read while it comes without a pause of 0.2 s, for up to 1 s and 64 MiB. TestMemoryTable measures the memory of nodes by hand; its callers and those of TestMemoryOfLargeRequests connect without the proxy, which closes both directions at the end of one.

--- a/io/proxy/linger.go
+++ b/io/proxy/linger.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -10,11 +9,15 @@
 )
 
 const (
-	// lingerCloseMillis bounds how long the rest of a refused request is read before its
-	// connection is closed.
-	lingerCloseMillis = 200 * clock.Millis(1)
-	// lingerCloseBytes bounds how much of the rest is read.
-	lingerCloseBytes = 8 << 20
+	// lingerPauseMillis is the pause in the rest of a refused request after which its
+	// connection is closed, and lingerCloseMillis bounds the time in which the rest is read.
+	lingerPauseMillis = 200 * clock.Millis(1)
+	lingerCloseMillis = 1 * clock.Second
+	// lingerCloseBytes bounds how much of the rest is read: it is the largest body that
+	// callers may send.
+	lingerCloseBytes = 64 << 20
+	// lingerBufferBytes is the size of the reads.
+	lingerBufferBytes = 32 << 10
 )
 
 type (
@@ -55,8 +58,21 @@
 func (c *lingerConn) Close() error {
 	if c.linger.Swap(false) {
 		_ = c.CloseWrite()
-		_ = c.SetReadDeadline(time.Now().Add(lingerCloseMillis.Duration()))
-		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerCloseBytes)
+		c.discardRest()
 	}
 	return c.TCPConn.Close()
 }
+
+// discardRest reads until the end of the connection or one of the bounds.
+func (c *lingerConn) discardRest() {
+	buffer := make([]byte, lingerBufferBytes)
+	until := time.Now().Add(lingerCloseMillis.Duration())
+	for rest := lingerCloseBytes; rest > 0 && time.Now().Before(until); {
+		_ = c.SetReadDeadline(time.Now().Add(lingerPauseMillis.Duration())) // the read reports a closed connection
+		n, err := c.TCPConn.Read(buffer)
+		if err != nil {
+			return
+		}
+		rest -= n
+	}
+}
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -160,3 +162,26 @@
 	}
 	is.True(accepted.Load() <= 20)
 }
+
+// TestRefusalOfLargeBodyArrives guards against a caller that loses the refusal of a large
+// body, because its connection is reset while it still sends.
+func TestRefusalOfLargeBodyArrives(t *testing.T) {
+	is := is.New(t)
+	in := newIngress(t, newFleet(t, 2, newFakeTarget(t)))
+	c, err := net.Dial("tcp", in.Address())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	const size = 32 << 20
+	_, err = fmt.Fprintf(c, "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	is.NoErr(err)
+	piece := make([]byte, 1<<20)
+	for range size / len(piece) {
+		_, err = c.Write(piece)
+		is.NoErr(err)
+		time.Sleep(5 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
