--- a/io/proxy/drain_test.go
+++ b/io/proxy/drain_test.go
@@ -148,6 +148,34 @@
 	is.NoErr(in.Drain(context.Background()))
 }
 
+// sendForVerdict sends a request and returns the channel that gets its verdict, or the error
+// of a caller without an answer.
+func sendForVerdict(in *Ingress, path, body string) <-chan string {
+	verdict := make(chan string, 1)
+	go func() {
+		resp, _, err := send(&http.Client{}, in, path, body)
+		if err != nil {
+			verdict <- err.Error()
+			return
+		}
+		verdict <- resp.Header.Get(headerVerdict)
+	}()
+	return verdict
+}
+
+// sendRunningAndWaiting sends a request that runs at a target with one slot until it is
+// released, and one that waits at its gate.
+func sendRunningAndWaiting(in *Ingress, target *fakeTarget, g *Gateway) map[string]<-chan string {
+	verdicts := make(map[string]<-chan string)
+	for i, body := range []string{"runs", "waits"} {
+		verdicts[body] = sendForVerdict(in, "/order/hold", body)
+		for int(target.open.Load())+g.Load().Queued <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return verdicts
+}
+
 // TestEndOfDrainAnswersCallers guards against a stop that closes the connections of
 // requests that outlast it, so that their callers learn nothing, and against a request
 // that did not run and is not said so.
@@ -158,21 +186,7 @@
 	in := newIngress(t, f)
 	in.Gateway = f.gateways["node-0"]
 	in.Self = "node-0" // the target is that of the node that stops
-	verdicts := make(map[string]chan string)
-	for i, body := range []string{"runs", "waits"} {
-		verdicts[body] = make(chan string, 1)
-		go func() {
-			resp, _, err := send(&http.Client{}, in, "/order/hold", body)
-			if err != nil {
-				verdicts[body] <- err.Error()
-				return
-			}
-			verdicts[body] <- resp.Header.Get(headerVerdict)
-		}()
-		for int(target.open.Load())+in.Gateway.Load().Queued <= i {
-			time.Sleep(time.Millisecond)
-		}
-	}
+	verdicts := sendRunningAndWaiting(in, target, in.Gateway)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	is.True(in.Drain(ctx) != nil)
@@ -198,21 +212,7 @@
 		}
 	}
 	in := newIngress(t, f)
-	verdicts := make(map[string]chan string)
-	for i, body := range []string{"runs", "waits"} {
-		verdicts[body] = make(chan string, 1)
-		go func() {
-			resp, _, err := send(&http.Client{}, in, "/order/hold", body)
-			if err != nil {
-				verdicts[body] <- err.Error()
-				return
-			}
-			verdicts[body] <- resp.Header.Get(headerVerdict)
-		}()
-		for int(target.open.Load())+f.gateways["node-0"].Load().Queued <= i {
-			time.Sleep(time.Millisecond)
-		}
-	}
+	verdicts := sendRunningAndWaiting(in, target, f.gateways["node-0"])
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	is.True(in.Drain(ctx) != nil)
@@ -237,15 +237,7 @@
 		return nil, result.NewError(result.MayHaveRun, "deadline passed", ctx.Err())
 	}
 	in := newIngress(t, f)
-	verdict := make(chan string, 1)
-	go func() {
-		resp, _, err := send(&http.Client{}, in, "/order/echo", "lost")
-		if err != nil {
-			verdict <- err.Error()
-			return
-		}
-		verdict <- resp.Header.Get(headerVerdict)
-	}()
+	verdict := sendForVerdict(in, "/order/echo", "lost")
 	<-voiding
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
