core/member: read a directory in time proportional to its entries

Cause: each entry of the directory was compared with all seeds before it. Entries of nodes that are gone stay there, so a start would take longer with the square of all nodes that there ever were. The review saw it in the source.

Change: an index by node for the time of the call.

--- a/core/member/seed.go
+++ b/core/member/seed.go
@@ -1,6 +1,9 @@
 package member
 
-import "hickoryrail/core/clock"
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
 
 const (
 	// joinMillis is the time after AddSeeds during which several seeds are contacted
@@ -16,24 +19,23 @@
 // AddSeeds adds seeds, for example those that a directory lists, and contacts several
 // of them at once. A seed that exists already gets the new address.
 func (t *Table) AddSeeds(now clock.Millis, seeds []Seed) {
+	position := make(map[ident.NodeID]int, len(t.config.Seeds)+len(seeds))
+	for i, s := range t.config.Seeds {
+		position[s.Node] = i
+	}
 	for _, s := range seeds {
-		if s.Node != t.self.Node {
-			t.addSeed(s)
+		if s.Node == t.self.Node {
+			continue
 		}
-	}
-	t.nextSeed = min(t.nextSeed, now)
-	t.joinUntil = now + joinMillis
-}
-
-// addSeed adds a seed or changes its address.
-func (t *Table) addSeed(s Seed) {
-	for i := range t.config.Seeds {
-		if t.config.Seeds[i].Node == s.Node {
+		if i, known := position[s.Node]; known {
 			t.config.Seeds[i].Address = s.Address
-			return
+			continue
 		}
+		position[s.Node] = len(t.config.Seeds)
+		t.config.Seeds = append(t.config.Seeds, s)
 	}
-	t.config.Seeds = append(t.config.Seeds, s)
+	t.nextSeed = min(t.nextSeed, now)
+	t.joinUntil = now + joinMillis
 }
 
 // contactSeeds requests all records from a few random seeds that are not live members.
--- a/core/member/seed_test.go
+++ b/core/member/seed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -61,3 +62,24 @@
 	}
 	is.Equal(leastSize(), nodes)
 }
+
+// TestManySeeds guards against a start that takes time with the square of the directory's
+// entries: those of nodes that are gone stay there. The directory is read again, with a
+// new address for one node.
+func TestManySeeds(t *testing.T) {
+	is := is.New(t)
+	const entries = 100_000
+	seeds := make([]Seed, entries)
+	for i := range seeds {
+		seeds[i] = Seed{Node: ident.NodeID(fmt.Sprintf("sidecar-%d", i)), Address: "a"}
+	}
+	self := Record{Node: "sidecar-0", Incarnation: 1, PeerAddress: "a", FailureDomain: "d", Region: "r"}
+	table := New(self, DefaultConfig(), rand.New(rand.NewPCG(1, 7)))
+	began := time.Now()
+	table.AddSeeds(0, seeds)
+	seeds[1].Address = "b"
+	table.AddSeeds(1, seeds)
+	is.True(time.Since(began) < 2*time.Second)
+	is.Equal(len(table.config.Seeds), entries-1) // without the node itself
+	is.Equal(table.config.Seeds[0], Seed{Node: "sidecar-1", Address: "b"})
+}
