io/proxy: pass on an idempotency key where there is no store for keys

Callers of the users' platform that sent an Idempotency-Key with an action were always refused with 503, although the platform's pages name no such header and ask for other headers to be passed on. The review saw it in the source.

Cause: the product refuses keys when it has no store for them, and the users' platform has none.

Evidence: TestKeyWithoutStore on the code before: 503 in place of 200.

Change: without a store, a key is an ordinary header field.

Result: the test and the tests of io/proxy pass.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -60,7 +60,6 @@
 	reasonNoMemory  = "node has no memory for the request body"
 	reasonKeyLength = "Idempotency-Key is not 1 to 255 bytes"
 	reasonRate      = "caller sends too many requests"
-	reasonNoStore   = "node has no store for idempotency keys"
 )
 
 type (
@@ -89,8 +88,7 @@
 		// Limiter bounds the request rate of each caller, identified by its IP
 		// address; nil sets no limit. The ingress serializes its calls.
 		Limiter *limit.Limiter[netip.Addr]
-		// Store holds idempotency keys. Without one, requests with a key are
-		// refused.
+		// Store holds idempotency keys. Without one, a key is an ordinary header field.
 		Store  plat.Store
 		Limits Limits
 		// Memory bounds the memory for the bodies of requests and answers; nil sets no
@@ -293,7 +291,7 @@
 		return
 	}
 	key := ctx.Request.Header.Peek(headerIdempotencyKey)
-	if c.route.Idempotent || len(key) == 0 {
+	if c.route.Idempotent || len(key) == 0 || in.Store == nil {
 		resp := in.forward(c)
 		in.recordAnswer(c, resp)
 		in.reply(ctx, resp, now)
--- a/io/proxy/keyed.go
+++ b/io/proxy/keyed.go
@@ -35,9 +35,6 @@
 // otherwise responds with the stored outcome or a refusal. The outcome of a forwarded
 // call is stored in the background, after the caller has its response.
 func (in *Ingress) forwardKeyed(c *call, caller, key string) *wire.Response {
-	if in.Store == nil {
-		return notRun(reasonNoStore)
-	}
 	k := &keyClaim{in: in, rowKey: once.RowKey(c.route.Service, ident.CallerID(caller), key)}
 	k.claim = once.Claim{
 		ID: ident.RequestID(c.id), StoreMillis: in.StoreMillis,
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -33,7 +33,7 @@
 	}
 	ctx.Request.Header.SetHostBytes(target.host) // the authority of an absolute target counts
 	timeout := min(left, r.TimeoutMillis)
-	if len(ctx.Request.Header.Peek(headerIdempotencyKey)) > maxKeyBytes {
+	if in.Store != nil && len(ctx.Request.Header.Peek(headerIdempotencyKey)) > maxKeyBytes {
 		return nil, notRun(reasonKeyLength)
 	}
 	h := &ctx.Request.Header
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -185,3 +185,18 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 }
+
+// TestKeyWithoutStore guards against a node without a store for idempotency keys that
+// refuses every action whose caller sends one.
+func TestKeyWithoutStore(t *testing.T) {
+	is := is.New(t)
+	target := newFakeTarget(t)
+	in := newIngress(t, newFleet(t, 2, target))
+	for _, key := range []string{"order-17", strings.Repeat("k", 300)} {
+		resp, body, err := send(http.DefaultClient, in, "/order/echo", key, headerIdempotencyKey, key)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, key)
+		is.Equal(target.runCount(key), 1)
+	}
+}
