io/httpd: take no memory and no timer for requests without a body

Cause: a request without a length, such as most GETs, was treated like one in chunks: it made a context with a timer and read its timeout header once more. Bounds without a limit of the body would have refused all bodies.

Change: only bodies with a length or in chunks wait for memory. The reading of bodies has a file of its own.

Result: the tests of io/httpd, with the race detector, and of io/proxy pass.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -14,7 +14,6 @@
 	"github.com/valyala/fasthttp"
 
 	"hickoryrail/core/clock"
-	"hickoryrail/core/ident"
 	"hickoryrail/io/mem"
 	"hickoryrail/io/sock"
 )
@@ -199,42 +198,6 @@
 	return ex, nil
 }
 
-// readBody reads the body of a request once there is memory for it. Until then the caller is
-// not read from, so that its writes wait.
-func (c *connection) readBody(ex *exchange, b Bounds) error {
-	length := ex.rc.Request.Header.ContentLength()
-	wait := b.BodyMillis
-	if c.server.RoomMillis != nil && length != 0 {
-		wait = c.server.RoomMillis(ex.rc)
-	}
-	ctx, cancel := c.server.ctx, func() {}
-	if wait > 0 {
-		ctx, cancel = context.WithTimeout(ctx, wait.Duration())
-	}
-	defer cancel()
-	if length > 0 && length <= int(b.BodyBytes) {
-		if err := ex.lease.Request.Take(ctx, mem.Copies*ident.Bytes(length)); err != nil {
-			return err
-		}
-	}
-	if length > int(b.BodyBytes) {
-		return fasthttp.ErrBodyTooLarge // the final response, in place of an interim one
-	}
-	if ex.rc.Request.MayContinue() && ex.rc.Request.Header.IsHTTP11() {
-		c.sendContinue()
-	}
-	c.setReadDeadline(b.BodyMillis)
-	if length >= 0 {
-		return ex.rc.Request.ContinueReadBody(c.reader, int(b.BodyBytes), false)
-	}
-	c.metered.Start(ctx, ex.lease.Request)
-	err := ex.rc.Request.ContinueReadBody(c.reader, int(b.BodyBytes), false)
-	if noRoom := c.metered.Stop(); noRoom != nil {
-		return noRoom // err need not wrap it
-	}
-	return err
-}
-
 // isDisconnect reports whether err means that the connection has ended, rather than
 // that a request is malformed.
 func (c *connection) isDisconnect(err error) bool {
