core/quota, io/mem: explain who can be served by a request

A reader may wonder whether a request can serve other holders; it cannot, because each change before has served them.

Changes comments only.

--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -105,6 +105,7 @@
 	h.wanted = n
 	at, _ := slices.BinarySearchFunc(p.waiting, h, func(a, b *Holder) int { return cmp.Compare(a.number, b.number) })
 	p.waiting = slices.Insert(p.waiting, at, h)
+	// The other waiting holders have been served as far as possible, so only h can be.
 	return slices.Contains(p.serve(), h)
 }
 
--- a/io/mem/budget.go
+++ b/io/mem/budget.go
@@ -59,9 +59,8 @@
 		waits, refused prometheus.Counter
 	}
 
-	// Hold is the part of a budget that one body uses. Its methods do nothing on a nil
-	// Hold. At most one goroutine may call Take or Grow
-	// at a time.
+	// Hold is the part of a budget that one body uses. Its methods do nothing on a nil Hold.
+	// At most one goroutine may call Take or Grow at a time.
 	Hold struct {
 		pool   *pool
 		holder quota.Holder
