io/node: wait for the refusal in TestInvalidMessagesChangeNothing

It waits until the malformed messages are counted and takes the forged release, sent before them, for handled. Each control message has a stream and a goroutine of its own, and the forged release takes longest.

Change: the test waits for the refusal before it checks that there is exactly one; what it checks afterwards now comes after the forged release in any case.

--- a/io/node/request_test.go
+++ b/io/node/request_test.go
@@ -129,6 +129,8 @@
 	f.await("malformed messages counted", func() bool {
 		return a.counter("hickoryrail_control_malformed_total") == float64(len(messages))
 	})
+	// Each message is handled in a goroutine of its own, so the first one may be the last.
+	f.await("forged release refused", func() bool { return a.counter("hickoryrail_releases_refused_total") > 0 })
 	is.Equal(a.counter("hickoryrail_releases_refused_total"), 1.0)
 
 	// A peer with the name of a member and the certificate of another authority.
