io/proxy: interfaces for the admission of requests with access keys

Cause: the parts for revocation and usage caps are built beside the one that calls them. Change: the interfaces Freshness and Caps and the fields of Ingress for them; not called yet.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -97,6 +97,9 @@
 		// FailFast decides which attempts are refused at once unless a slot is free
 		// now or soon; with nil, all attempts may wait at their gate.
 		FailFast *route.FailFastPolicy
+		// Freshness and Caps decide on requests with access keys; nil admits all of them.
+		Freshness Freshness
+		Caps      Caps
 		// Dialect defines the header names and response rules of callers and targets.
 		Dialect Dialect
 		// Service is the service of the target beside the node, from which its
