core/model, core/view: teams in releases, deltas and the lookup of a key

Change: each key is a field of its own in a delta, and the keys that both releases have in common are set aside before teams are compared. The index of a release maps digests to teams. Measured: go test ./core/model ./core/view passes.

--- a/core/model/delta.go
+++ b/core/model/delta.go
@@ -69,6 +69,7 @@
 		named.Add(elementOf(c.Field))
 	}
 	old, rest := from.partition(named)
+	kept := setAside(old.Rules.Teams, d.Changes)
 	f := flatten(old)
 	for _, c := range d.Changes {
 		if f[c.Field] != c.Old {
@@ -89,5 +90,8 @@
 	if !maps.Equal(f, flatten(changed)) {
 		return Configuration{}, errFields
 	}
+	if !putBack(changed.Rules.Teams, kept) {
+		return Configuration{}, errFields
+	}
 	return rest.join(changed), nil
 }
--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -141,6 +141,9 @@
 	for _, r := range c.Rules.Routes {
 		f.setRoute(r)
 	}
+	for i := range c.Rules.Teams {
+		f.setTeam(&c.Rules.Teams[i])
+	}
 	f.setCallers(c.Rules.Callers)
 	return f
 }
@@ -172,6 +175,9 @@
 	if r.GoalMillis != 0 {
 		f.set(routeKind, name, "GoalMillis", formatMillis(r.GoalMillis))
 	}
+	if r.Anonymous {
+		f.set(routeKind, name, "Anonymous", strconv.FormatBool(true))
+	}
 }
 
 // setCallers sets the fields of the caller limits, unless all of them are zero.
@@ -204,6 +210,8 @@
 			err = f.appendService(&c, element, name)
 		case strings.HasPrefix(element, routeKind+"/"):
 			err = f.appendRoute(&c, element, name)
+		case strings.HasPrefix(element, teamKind+"/"):
+			err = f.appendTeam(&c, element, name)
 		case element == callersKind+"/"+callersName:
 			c.Rules.Callers, err = f.callerLimits(element)
 		}
@@ -211,6 +219,9 @@
 			return Configuration{}, fmt.Errorf("%s: %w", element, err)
 		}
 	}
+	if err := f.addKeys(&c); err != nil {
+		return Configuration{}, err
+	}
 	return c.sorted(), nil
 }
 
@@ -276,6 +287,7 @@
 		Idempotent: f[element+"/Idempotent"] == "true", TimeoutMillis: timeout,
 		MaxAttempts: attempts, HedgeAfterMillis: hedge,
 		Host: f[element+"/Host"], Parts: parts, GoalMillis: goal,
+		Anonymous: f[element+"/Anonymous"] == "true",
 	})
 	return nil
 }
--- a/core/model/elements.go
+++ b/core/model/elements.go
@@ -16,6 +16,8 @@
 		a.Inventory.Services, b.Inventory.Services, serviceName, equalElements)
 	onlyA.Rules.Routes, onlyB.Rules.Routes = differingElements(
 		a.Rules.Routes, b.Rules.Routes, routeName, equalRoutes)
+	onlyA.Rules.Teams, onlyB.Rules.Teams = differingElements(a.Rules.Teams, b.Rules.Teams, teamName, equalTeams)
+	dropCommonKeys(onlyA.Rules.Teams, onlyB.Rules.Teams)
 	if a.Rules.Callers != b.Rules.Callers {
 		onlyA.Rules.Callers, onlyB.Rules.Callers = a.Rules.Callers, b.Rules.Callers
 	}
@@ -49,6 +51,7 @@
 	in.Inventory.Services, out.Inventory.Services = partitionElements(
 		c.Inventory.Services, named, serviceKind, serviceName)
 	in.Rules.Routes, out.Rules.Routes = partitionElements(c.Rules.Routes, named, routeKind, routeName)
+	in.Rules.Teams, out.Rules.Teams = partitionElements(c.Rules.Teams, named, teamKind, teamName)
 	if named.Has(callersKind + "/" + callersName) {
 		in.Rules.Callers = c.Rules.Callers
 	} else {
@@ -78,7 +81,10 @@
 			FailureDomains: slices.Concat(c.Inventory.FailureDomains, o.Inventory.FailureDomains),
 			Services:       slices.Concat(c.Inventory.Services, o.Inventory.Services),
 		},
-		Rules: Rules{Routes: slices.Concat(c.Rules.Routes, o.Rules.Routes), Callers: c.Rules.Callers},
+		Rules: Rules{
+			Routes: slices.Concat(c.Rules.Routes, o.Rules.Routes), Callers: c.Rules.Callers,
+			Teams: slices.Concat(c.Rules.Teams, o.Rules.Teams),
+		},
 	}
 	if o.Rules.Callers != (CallerLimits{}) {
 		out.Rules.Callers = o.Rules.Callers
@@ -104,5 +110,6 @@
 		a.Service == b.Service && slices.Equal(a.Parts, b.Parts) &&
 		a.Class == b.Class && a.Idempotent == b.Idempotent &&
 		a.TimeoutMillis == b.TimeoutMillis && a.GoalMillis == b.GoalMillis &&
-		a.MaxAttempts == b.MaxAttempts && a.HedgeAfterMillis == b.HedgeAfterMillis
+		a.MaxAttempts == b.MaxAttempts && a.HedgeAfterMillis == b.HedgeAfterMillis &&
+		a.Anonymous == b.Anonymous
 }
--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -43,11 +43,13 @@
 			HedgeAfterMillis: clock.Millis(rapid.SampledFrom([]float64{-1, 0, math.Copysign(0, -1), 2.5}).Draw(t, "hedge")),
 			Host:             rapid.SampledFrom([]string{"", "h"}).Draw(t, "host"),
 			GoalMillis:       clock.Millis(rapid.IntRange(0, 1).Draw(t, "goal")),
+			Anonymous:        rapid.Bool().Draw(t, "anonymous"),
 		})
 		if r := &c.Rules.Routes[len(c.Rules.Routes)-1]; rapid.Bool().Draw(t, "split") {
 			r.Parts, r.Service = []Part{{Service: r.Service, Weight: rapid.IntRange(1, 3).Draw(t, "weight")}}, ""
 		}
 	}
+	c.Rules.Teams = drawTeams(t)
 	c.Rules.Callers.BodyBytes = ident.Bytes(rapid.IntRange(0, 1).Draw(t, "body"))
 	for i := range rapid.IntRange(0, 2).Draw(t, "domains") {
 		region := ident.Region(rapid.SampledFrom([]string{"attica", "windhoek"}).Draw(t, "region"))
@@ -192,6 +194,10 @@
 		c := a
 		c.Inventory.Services = rapid.Permutation(a.Inventory.Services).Draw(t, "services")
 		c.Rules.Routes = rapid.Permutation(a.Rules.Routes).Draw(t, "routes")
+		c.Rules.Teams = rapid.Permutation(a.Rules.Teams).Draw(t, "teams")
+		for i := range c.Rules.Teams {
+			c.Rules.Teams[i].Keys = rapid.Permutation(c.Rules.Teams[i].Keys).Draw(t, "keys")
+		}
 		if c.Digest() != a.Digest() {
 			t.Fatal("the digest depends on the order")
 		}
--- a/core/model/release.go
+++ b/core/model/release.go
@@ -42,7 +42,7 @@
 }
 
 // Digest returns the digest of the canonical encoding. It doesn't depend on the order
-// of services, failure domains and routes.
+// of services, failure domains, routes, teams and keys.
 func (c Configuration) Digest() ident.Digest {
 	body, err := encoder.Marshal(c.sorted())
 	if err != nil {
@@ -59,7 +59,10 @@
 			FailureDomains: sortedByName(c.Inventory.FailureDomains, domainName),
 			Services:       sortedByName(c.Inventory.Services, serviceName),
 		},
-		Rules: Rules{Routes: sortedByName(c.Rules.Routes, routeName), Callers: c.Rules.Callers},
+		Rules: Rules{
+			Routes: sortedByName(c.Rules.Routes, routeName), Callers: c.Rules.Callers,
+			Teams: sortedTeams(c.Rules.Teams),
+		},
 	}
 }
 
--- a/core/model/validate.go
+++ b/core/model/validate.go
@@ -71,6 +71,7 @@
 	k.checkDomains(c.Inventory.FailureDomains)
 	services := k.checkServices(c.Inventory.Services)
 	k.checkRoutes(c.Rules.Routes, services)
+	k.checkTeams(c.Rules.Teams)
 	k.checkLimits(c.Rules.Callers)
 	if len(k.faults) > 0 {
 		return k.faults
@@ -91,6 +92,12 @@
 func (k *checker) startElement(seen sets.Set[string], kind, name string) {
 	k.kind, k.name = kind, name
 	require(k, ValidName(name), nameField, name, "1 to 64 letters, digits, '-', '_' or '.'")
+	k.requireOnce(seen, name)
+}
+
+// requireOnce checks that the name of the element being checked is not yet in seen, and
+// adds it.
+func (k *checker) requireOnce(seen sets.Set[string], name string) {
 	require(k, seen.Add(name), nameField, name, "a name that is used once")
 }
 
--- a/core/view/index.go
+++ b/core/view/index.go
@@ -18,6 +18,9 @@
 		// hosts maps each host to its routes, and the empty host to the routes without
 		// a host.
 		hosts map[string]hostRoutes
+		// teams maps the digest of each access key to the index of its team in the
+		// release; nil without teams.
+		teams map[model.KeyDigest]int32
 	}
 
 	// hostRoutes holds the routes of one host.
@@ -42,9 +45,28 @@
 		h.longestPrefix = max(h.longestPrefix, len(routes[i].PathPrefix))
 		x.hosts[routes[i].Host] = h
 	}
+	x.indexTeams()
 	return x
 }
 
+// indexTeams fills teams.
+func (x *Index) indexTeams() {
+	teams := x.release.Configuration.Rules.Teams
+	if len(teams) == 0 {
+		return
+	}
+	total := 0
+	for i := range teams {
+		total += len(teams[i].Keys)
+	}
+	x.teams = make(map[model.KeyDigest]int32, total)
+	for i := range teams {
+		for _, k := range teams[i].Keys {
+			x.teams[k] = int32(i)
+		}
+	}
+}
+
 // Join returns the view of the release with the routable targets of the members'
 // records. Targets whose service is not in the release are left out.
 func (x *Index) Join(records []member.Record) *View {
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -79,6 +79,22 @@
 	return ok
 }
 
+// HasTeams reports whether the release has teams, so that requests need an access key
+// unless their route is anonymous.
+func (v *View) HasTeams() bool {
+	return len(v.index.release.Configuration.Rules.Teams) > 0
+}
+
+// Team returns the team of the access key with that digest, or nil. It allocates nothing.
+// The caller must not change the team.
+func (v *View) Team(key model.KeyDigest) *model.Team {
+	i, ok := v.index.teams[key]
+	if !ok {
+		return nil
+	}
+	return &v.index.release.Configuration.Rules.Teams[i]
+}
+
 // Service returns the service with that name.
 func (v *View) Service(name ident.ServiceName) (model.Service, bool) {
 	for _, s := range v.index.release.Configuration.Inventory.Services {
