io/proxy, platform: access keys and teams at the ingress

Change: in a configuration with teams the ingress finds the team of the one Bearer key, rejects other requests on routes that are not anonymous with 401, asks Freshness and Caps, and tells the target the team in place of the caller's own fields. A team's class goes before that of the route for the rank. A response of the ingress can state its own Retry-After; the field is not encoded. Freshness is asked before the view is loaded, so that a proof never vouches for an earlier release. Idempotency keys are separate by team.

--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -46,6 +46,8 @@
 		Target  ident.TargetID
 		Node    ident.NodeID
 		Version ident.Version
+		// Team is the team of the caller's access key; empty without one.
+		Team ident.TeamName
 		// Source is where a release that was put in force came from.
 		Source string
 		// Era and Revision are the position of the last answer of the source of
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -217,6 +217,7 @@
 	setField(f, "WaitMillis", float64(d.Wait))
 	setField(f, "TookMillis", float64(d.Took))
 	setField(f, "LimitPerSecond", d.LimitPerSecond)
+	setField(f, "Team", d.Team)
 	if d.HasLoad {
 		f["Free"], f["Queued"] = d.Free, d.Queued
 	}
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"math"
+	"strconv"
 	"strings"
 
 	"hickoryrail/core/clock"
@@ -29,6 +31,9 @@
 		// TargetHeader names the header with the id of the target that a request is
 		// for; if empty, none is sent.
 		TargetHeader string
+		// TeamHeader names the header with the name of the caller's team, which the
+		// ingress sets for the target and for the gate; empty means headerTeam.
+		TeamHeader string
 		// SignatureHeader names the header that a successful response must have to
 		// count as the target's own; empty disables the check.
 		SignatureHeader string
@@ -45,8 +50,8 @@
 		// outcome without a response from the target; a negative delay omits the
 		// header. Nil keeps the default status and omits the header.
 		ErrorStatus func(v result.Verdict, status int, reason string) (int, clock.Millis)
-		// FormatRetryAfter formats a delay for the Retry-After header; required with
-		// ErrorStatus.
+		// FormatRetryAfter formats a delay for the Retry-After header; nil means whole
+		// seconds, rounded up (RFC 9110, 10.2.3).
 		FormatRetryAfter func(clock.Millis) string
 		// OmitVerdictHeaders leaves headerVerdict and headerReason out of responses
 		// to callers.
@@ -59,14 +64,37 @@
 	if d.TimeoutHeader == "" {
 		d.TimeoutHeader = headerTimeout
 	}
+	if d.TeamHeader == "" {
+		d.TeamHeader = headerTeam
+	}
+	if d.FormatRetryAfter == nil {
+		d.FormatRetryAfter = formatSeconds
+	}
 	return d
 }
 
+// formatSeconds formats a delay in whole seconds, rounded up.
+func formatSeconds(d clock.Millis) string {
+	return strconv.FormatFloat(math.Ceil(float64(d/clock.Second)), 'f', -1, 64)
+}
+
 // setsHeader reports whether the node itself sets a request header, so that the
 // caller's value is dropped.
 func (d *Dialect) setsHeader(name []byte) bool {
-	for _, own := range [...]string{d.TimeoutHeader, d.OriginHeader, d.TargetHeader} {
-		if own != "" && len(own) == len(name) && strings.EqualFold(own, string(name)) {
+	return isOneOf(name, d.TimeoutHeader, d.OriginHeader, d.TargetHeader)
+}
+
+// setsTeamHeader does the same for the header fields about the caller's team, which are
+// the caller's own in a configuration without teams. The access key goes to no target.
+func (d *Dialect) setsTeamHeader(name []byte) bool {
+	return isOneOf(name, d.TeamHeader, headerAuthorization)
+}
+
+// isOneOf reports whether name is one of the given header names, in any case. Empty names
+// stand for no header.
+func isOneOf(name []byte, given ...string) bool {
+	for _, g := range given {
+		if g != "" && len(g) == len(name) && strings.EqualFold(g, string(name)) {
 			return true
 		}
 	}
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -45,6 +45,10 @@
 		ctx   context.Context
 		view  *view.View
 		route model.Route
+		// team is that of the caller's access key; nil for a request without one.
+		team *model.Team
+		// counted is set once the call is counted against its team's usage cap.
+		counted bool
 		// firstTriedAt is the estimated instant of the caller's first try, from which
 		// the response-time goal counts.
 		firstTriedAt clock.Millis
@@ -232,13 +236,19 @@
 	in.Log.Record(d)
 }
 
-// recordRefusal writes a request that could not be routed to the decision log. Its
-// path is left out, since a caller can choose it freely.
-func (in *Ingress) recordRefusal(ctx *fasthttp.RequestCtx, resp *wire.Response, now clock.Millis) {
+// recordRefusal writes a request that was not admitted to the decision log; c is nil if
+// its route is not known. Its path is left out, since a caller can choose it freely.
+func (in *Ingress) recordRefusal(ctx *fasthttp.RequestCtx, c *call, resp *wire.Response, now clock.Millis) {
 	d := logs.Decision{At: now, Kind: logs.Answer, Node: in.Self, Verdict: resp.Verdict, Reason: resp.Reason}
 	if v := in.view.Load(); v != nil {
 		d.Version = v.Version()
 	}
+	if c != nil {
+		d.Route = c.route.Name
+		if c.team != nil {
+			d.Team = c.team.Name
+		}
+	}
 	if in.Dialect.RequestIDHeader != "" {
 		if id := ctx.Request.Header.Peek(in.Dialect.RequestIDHeader); len(id) <= maxCallerIDBytes {
 			d.Request = ident.RequestID(id)
--- a/io/proxy/headers.go
+++ b/io/proxy/headers.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"iter"
 
+	"github.com/valyala/fasthttp"
+
 	"hickoryrail/io/wire"
 )
 
@@ -16,6 +18,8 @@
 	// headerCaller names the caller, whose idempotency keys are separate from those
 	// of others.
 	headerCaller = "Hickoryrail-Caller"
+	// headerTeam carries the name of the caller's team to the target.
+	headerTeam = "Hickoryrail-Team"
 	// headerTimeout carries the remaining time in milliseconds.
 	headerTimeout = "Request-Timeout-Millis"
 	// headerCapacity is the initial capacity of a copied header list; most lists fit
@@ -37,18 +41,26 @@
 }
 
 // copyHeaders copies the end-to-end fields into new memory. connection is the value
-// of the Connection field, which lists further fields to drop. Request fields that
-// the dialect sets are dropped as well; d is nil for responses.
-func copyHeaders(fields iter.Seq2[[]byte, []byte], connection []byte, d *Dialect) wire.Headers {
+// of the Connection field, which lists further fields to drop. Fields for which dropped,
+// if set, returns true are dropped as well.
+func copyHeaders(fields iter.Seq2[[]byte, []byte], connection []byte, dropped func(name []byte) bool) wire.Headers {
 	headers := make(wire.Headers, 0, headerCapacity)
 	for name, value := range fields {
-		if !isHopByHop(name) && !listContains(connection, name) && (d == nil || !d.setsHeader(name)) {
+		if !isHopByHop(name) && !listContains(connection, name) && (dropped == nil || !dropped(name)) {
 			headers.Append(name, value)
 		}
 	}
 	return headers
 }
 
+// copyRequestHeaders copies the fields of a caller's request that are forwarded. Those
+// about its team are not, if the configuration has teams.
+func (d *Dialect) copyRequestHeaders(h *fasthttp.RequestHeader, teams bool) wire.Headers {
+	return copyHeaders(h.All(), h.Peek("Connection"), func(name []byte) bool {
+		return d.setsHeader(name) || teams && d.setsTeamHeader(name)
+	})
+}
+
 // isHopByHop reports whether a field must not be forwarded.
 func isHopByHop(name []byte) bool {
 	var lower [32]byte
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -272,7 +272,7 @@
 	defer in.inFlight.Add(-1)
 	now := in.Clock.Now()
 	if in.metrics.left.hasLeft(callerCtx, leftRead) {
-		in.recordRefusal(ctx, notRun(reasonGaveUp), now)
+		in.recordRefusal(ctx, nil, notRun(reasonGaveUp), now)
 		in.reply(ctx, notRun(reasonGaveUp), now)
 		return
 	}
@@ -288,11 +288,15 @@
 	if refusal == nil && !in.fitsStop(c, now) {
 		refusal = notRun(reasonStopSoon)
 	}
+	if refusal == nil {
+		refusal = in.takeCap(c)
+	}
 	if refusal != nil {
-		in.recordRefusal(ctx, refusal, now)
+		in.recordRefusal(ctx, c, refusal, now)
 		in.reply(ctx, refusal, now)
 		return
 	}
+	defer in.returnCap(c)
 	key := ctx.Request.Header.Peek(headerIdempotencyKey)
 	if c.route.Idempotent || len(key) == 0 || in.Store == nil {
 		resp := in.forward(c)
@@ -301,7 +305,7 @@
 		return
 	}
 	c.ctx = context.WithoutCancel(callerCtx) // the outcome is stored under its key even if the caller is gone
-	in.reply(ctx, in.forwardKeyed(c, string(ctx.Request.Header.Peek(headerCaller)), string(key)), now)
+	in.reply(ctx, in.forwardKeyed(c, c.keyOwner(ctx.Request.Header.Peek(headerCaller)), string(key)), now)
 }
 
 // withinRate reports whether the caller is within its rate limit.
--- a/io/proxy/ingressmetrics.go
+++ b/io/proxy/ingressmetrics.go
@@ -16,6 +16,8 @@
 	voids    prometheus.Counter
 	refused  prometheus.Counter
 	left     leftCounters
+	// rejected holds the counter of each reason in rejectionLabels.
+	rejected map[string]prometheus.Counter
 	delay    prometheus.Histogram
 }
 
@@ -33,5 +35,10 @@
 	m.delay = stats.Histogram("ingress_delay_seconds", "Time from a whole request to its answer.", delayBuckets)
 	left, leftCollector := newLeftCounters("ingress_caller_left_total")
 	m.left = left
-	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, m.delay)
+	rejected := stats.Counters("ingress_rejected_total", "Requests that were rejected because of their access key or team.", "reason")
+	m.rejected = make(map[string]prometheus.Counter, len(rejectionLabels))
+	for reason, label := range rejectionLabels {
+		m.rejected[reason] = rejected.WithLabelValues(label)
+	}
+	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, rejected, m.delay)
 }
--- a/io/proxy/keyed.go
+++ b/io/proxy/keyed.go
@@ -31,6 +31,15 @@
 	claim  once.Claim
 }
 
+// keyOwner returns the caller whose idempotency keys are separate from those of others. It
+// includes the caller's team, so that no team gets the stored outcome of another.
+func (c *call) keyOwner(caller []byte) string {
+	if c.team == nil {
+		return string(caller)
+	}
+	return string(c.team.Name) + "\x00" + string(caller)
+}
+
 // forwardKeyed forwards a call with an idempotency key if its claim succeeds, and
 // otherwise responds with the stored outcome or a refusal. The outcome of a forwarded
 // call is stored in the background, after the caller has its response.
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -37,6 +37,8 @@
 	fleet struct {
 		gateways map[ident.NodeID]*Gateway
 		view     *view.View
+		// records are those of the view's targets.
+		records []member.Record
 		// intercept, if set, replaces the delivery of a call.
 		intercept func(ctx context.Context, g *Gateway, body []byte) ([]byte, error)
 		// interceptFresh does the same for calls on a fresh connection.
@@ -161,7 +163,6 @@
 	f := &fleet{gateways: make(map[ident.NodeID]*Gateway)}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	var records []member.Record
 	for i, s := range targets {
 		node := ident.NodeID(fmt.Sprint("node-", i))
 		g := &Gateway{Self: node, Incarnation: gateIncarnation, Clock: clock.NewSystem(), QueueLength: 512, Limits: Limits{BodyBytes: 64 << 10}}
@@ -174,7 +175,7 @@
 			t.Fatal(err)
 		}
 		f.gateways[node] = g
-		records = append(records, member.Record{
+		f.records = append(f.records, member.Record{
 			Node: node, Service: "shop", Target: id, TargetState: member.Ready,
 			GateIncarnation: gateIncarnation, FailureDomain: "a", Region: "r", PeerAddress: "peer",
 		})
@@ -183,7 +184,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.view = view.Build(release, records)
+	f.view = view.Build(release, f.records)
 	return f
 }
 
--- a/io/proxy/reply.go
+++ b/io/proxy/reply.go
@@ -28,12 +28,18 @@
 		}
 	} else {
 		status := statusOf(resp)
+		retryAfter := clock.Millis(-1)
 		if in.Dialect.ErrorStatus != nil {
-			var retryAfter clock.Millis
 			status, retryAfter = in.Dialect.ErrorStatus(resp.Verdict, status, resp.Reason)
-			if retryAfter >= 0 {
-				h.Set("Retry-After", in.Dialect.FormatRetryAfter(retryAfter))
-			}
+		}
+		if resp.RetryAfterMillis > 0 {
+			retryAfter = resp.RetryAfterMillis
+		}
+		if retryAfter >= 0 {
+			h.Set("Retry-After", in.Dialect.FormatRetryAfter(retryAfter))
+		}
+		if status == fasthttp.StatusUnauthorized {
+			h.Set(headerChallenge, challenge)
 		}
 		ctx.SetStatusCode(status)
 		h.SetContentType("text/plain; charset=utf-8")
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -16,8 +16,9 @@
 	"hickoryrail/io/wire"
 )
 
-// newCall routes a request and copies it. For a request that cannot be routed it
-// returns the refusal instead.
+// newCall routes a request, finds its team and copies it. For a request that cannot be
+// routed or is not admitted it returns the refusal instead, and a call with the route if
+// that is known.
 func (in *Ingress) newCall(callerCtx context.Context, ctx *fasthttp.RequestCtx, now clock.Millis) (*call, *wire.Response) {
 	left, ok := timeoutOf(ctx.Request.Header.Peek(in.Dialect.TimeoutHeader), model.MaxTimeoutMillis)
 	if !ok {
@@ -27,10 +28,15 @@
 	if v == nil {
 		return nil, notRun(reasonNoView)
 	}
+	v, stale := in.provenView(v)
 	r, target, refusal := routeOf(v, ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
+	team, refusal := in.teamOf(v, &r, &ctx.Request.Header, stale)
+	if refusal != nil {
+		return &call{view: v, route: r}, refusal
+	}
 	ctx.Request.Header.SetHostBytes(target.host) // the authority of an absolute target counts
 	timeout := min(left, r.TimeoutMillis)
 	if in.Store != nil && len(ctx.Request.Header.Peek(headerIdempotencyKey)) > maxKeyBytes {
@@ -42,12 +48,12 @@
 	waited := in.waitEstimator.Observe(now, r.Name, left)
 	in.mu.Unlock()
 	c := &call{
-		ctx: callerCtx, view: v, route: r, firstTriedAt: now - waited, timeout: timeout, deadline: now + timeout, id: in.nextID(),
+		ctx: callerCtx, view: v, route: r, team: team, firstTriedAt: now - waited, timeout: timeout, deadline: now + timeout, id: in.nextID(),
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
 			HasGoal: r.GoalMillis > 0,
 			Method:  string(h.Method()), URI: bytes.Clone(target.uri),
-			Headers: copyHeaders(h.All(), h.Peek("Connection"), &in.Dialect),
+			Headers: in.Dialect.copyRequestHeaders(h, v.HasTeams()),
 			Body:    ctx.Request.SwapBody(nil), // the server does not use the request again
 		},
 	}
@@ -59,7 +65,10 @@
 		c.id = string(id) + "." + c.id
 		c.request.CallerID = ident.RequestID(id)
 	}
-	c.request.Rank, c.parentRepeated = in.rankOf(id, r.Class)
+	c.request.Rank, c.parentRepeated = in.rankOf(id, classOf(team, &r))
+	if team != nil {
+		c.request.Headers.Append([]byte(in.Dialect.TeamHeader), []byte(team.Name))
+	}
 	if in.Dialect.OriginHeader != "" {
 		c.request.Headers.Append([]byte(in.Dialect.OriginHeader), []byte(in.Service))
 	}
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -75,6 +75,10 @@
 		// Arrived is set if the attempt reached the target, which may have refused
 		// it.
 		Arrived bool
+		// RetryAfterMillis is the time after which the caller may try again a request
+		// that was not run; 0 means the dialect's. The ingress sets it for its own
+		// response, so it is not encoded.
+		RetryAfterMillis clock.Millis `cbor:"-"`
 	}
 
 	// Void asks a gate to guarantee that an attempt is never run.
