core/admit: divide the starts of a rank among teams by start-time fair queueing

Cause: within a rank, waiting calls start in order of goal, so a team that presses many times its usual takes the slots of all others. Change: teamOrder in the goal queue; a full queue displaces a call of the team with the most. Calls have no team yet, in which case order and state are as before (TestWithoutTeams).

--- a/core/admit/classqueue.go
+++ b/core/admit/classqueue.go
@@ -110,13 +110,14 @@
 	return actions
 }
 
-// started records the start of c for ageing and for the share of actions.
-func (q *classQueue) started(now clock.Millis, c Call) {
+// started records the start of c for ageing and for the share of actions. Nothing is charged.
+func (q *classQueue) started(now clock.Millis, c Call) clock.Millis {
 	q.lastServed[c.Class] = now
 	q.startsSinceAction++
 	if c.Class == model.Action {
 		q.startsSinceAction = 0
 	}
+	return 0
 }
 
 // finished adds the run time of c to the average of its class.
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -47,6 +47,12 @@
 		Deadline clock.Millis
 		// FailFast refuses the call at once unless a slot is free now or soon.
 		FailFast bool
+		// Team is the team of the caller; empty without one. The teams whose calls wait at
+		// a ByGoal gate share its slots evenly within a rank.
+		Team ident.TeamName
+
+		// charged is the expected run time for which the team was charged at the start.
+		charged clock.Millis
 	}
 
 	// queue holds the waiting calls of a gate in the gate's Order.
@@ -64,9 +70,9 @@
 		remove(id ident.RequestID) bool
 		// clear removes and refuses every call.
 		clear(actions []Action, reason string) []Action
-		// started records that c got a slot, finished that it ran for took and freed
-		// it.
-		started(now clock.Millis, c Call)
+		// started records that c got a slot and returns the run time that it is charged
+		// with; finished records that it ran for took and freed the slot.
+		started(now clock.Millis, c Call) clock.Millis
 		finished(c Call, took clock.Millis)
 		// nextExpiry returns the instant at which expire is due, or clock.Forever.
 		nextExpiry() clock.Millis
@@ -294,9 +300,9 @@
 	if g.running == nil {
 		g.running = make(map[ident.RequestID]Call)
 	}
-	g.running[c.ID] = c
 	g.rate.take()
-	g.queue().started(now, c)
+	c.charged = g.queue().started(now, c)
+	g.running[c.ID] = c
 }
 
 // queue returns the queue of the gate's order and creates it at first use.
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -40,6 +40,8 @@
 		// pressedUntil is until when each rank of new requests goes before all calls of
 		// less urgent running requests.
 		pressedUntil [LastRank + 1]clock.Millis
+		// teams divides the starts of each rank among the teams.
+		teams [LastRank + 1]teamOrder
 		// passed counts the starts since a call of a running request was passed over.
 		passed int
 	}
@@ -56,15 +58,33 @@
 	case end > c.Deadline:
 		return append(actions, refuse(c.ID, q.gate.waitReason(ReasonWait)))
 	case q.size() >= q.gate.QueueLength:
-		return append(actions, refuse(c.ID, ReasonFull))
+		return q.pushFull(c, actions)
 	case !c.Rank.IsInner() && c.Goal > 0 && end > c.Goal:
 		return q.pushLate(c, actions)
 	}
+	q.insert(c)
+	return actions
+}
+
+// insert queues c in its rank.
+func (q *goalQueue) insert(c Call) {
 	list := q.lists[c.Rank]
 	at, _ := slices.BinarySearchFunc(list, c.effectiveGoal(), func(w Call, goal clock.Millis) int {
 		return cmp.Or(cmp.Compare(w.effectiveGoal(), goal), -1)
 	})
 	q.lists[c.Rank] = slices.Insert(list, at, c)
+}
+
+// pushFull handles a call that finds the queue full: it displaces a call of the team with the
+// most waiting calls of its rank, or is refused.
+func (q *goalQueue) pushFull(c Call, actions []Action) []Action {
+	at := displaced(q.lists[c.Rank], c.Team)
+	if at < 0 {
+		return append(actions, refuse(c.ID, ReasonFull))
+	}
+	actions = append(actions, refuse(q.lists[c.Rank][at].ID, ReasonTeamShare))
+	q.lists[c.Rank] = slices.Delete(q.lists[c.Rank], at, at+1)
+	q.insert(c)
 	return actions
 }
 
@@ -137,11 +157,12 @@
 	return r < c
 }
 
-// take removes the first waiting call of a rank.
+// take removes the waiting call of a rank that is the next one.
 func (q *goalQueue) take(rank int) Call {
 	list := q.lists[rank]
-	c := list[0]
-	q.lists[rank] = slices.Delete(list, 0, 1)
+	at := q.teams[rank].next(list)
+	c := list[at]
+	q.lists[rank] = slices.Delete(list, at, at+1)
 	if c.Rank.IsInner() {
 		q.passed = 0
 	}
@@ -202,12 +223,17 @@
 	return actions
 }
 
-// started does nothing, since ranks have neither shares nor ageing.
-func (*goalQueue) started(clock.Millis, Call) {}
+// started charges the team of c with the expected run time, which it returns.
+func (q *goalQueue) started(_ clock.Millis, c Call) clock.Millis {
+	run := q.expectedRun(c.Rank)
+	q.teams[c.Rank].started(c.Team, run)
+	return run
+}
 
 // finished adds the run time of c to the average of its rank.
 func (q *goalQueue) finished(c Call, took clock.Millis) {
 	updateAverage(&q.averageRun[min(c.Rank, LastRank)], took)
+	q.teams[min(c.Rank, LastRank)].finished(c.Team, c.charged, took)
 }
 
 // nextExpiry returns the last instant at which every waiting call can still end by its
@@ -265,10 +291,7 @@
 		ahead += len(q.lists[rank])
 		work += clock.Millis(len(q.lists[rank])) * q.expectedRun(rank)
 	}
-	sameRank := 0
-	for sameRank < len(q.lists[c.Rank]) && q.lists[c.Rank][sameRank].effectiveGoal() <= c.effectiveGoal() {
-		sameRank++
-	}
+	sameRank := q.teams[c.Rank].ahead(q.lists[c.Rank], &c)
 	forSlot := (work + clock.Millis(sameRank)*q.expectedRun(c.Rank)) / clock.Millis(limit)
 	return max(forSlot, q.gate.rate.wait(ahead+sameRank))
 }
