io/proxy, io/node: the gate learns the teams of calls; refused callers return after the burst

Cause: core/admit divides slots among teams and core/retry names delays, but nothing used them. Change: while the configuration has teams, the gate takes a call's team from the header that the ingress sets, and refusals for lack of room carry the delay of retry.Returns.

--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -259,6 +259,7 @@
 	source := nameSource(from)
 	f.metrics.releaseApplied(r.Version, source, f.clock.Now())
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Source: source, Reason: reasonInForce})
+	f.gateway.SetTeams(len(r.Configuration.Rules.Teams) > 0)
 	for _, s := range r.Configuration.Inventory.Services {
 		if s.Name == f.service && !s.TargetSlots {
 			f.gateway.Resize(s.Slots, s.Connections)
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -179,6 +179,7 @@
 		DomainFactor: hostedDomainFactor, LocalPair: true, StaleMillis: hostedStaleMillis,
 	}
 	n.ingress.FailFast = &route.FailFastPolicy{}
+	n.ingress.Returns = &retry.Returns{Rand: splitRandom(random)}
 	n.ingress.LingerMillis = hostedLingerMillis
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, h.Settings.Service
 	n.ingress.Memory = n.memory
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -55,7 +55,9 @@
 		// timeout is the time from the request's arrival to deadline.
 		timeout  clock.Millis
 		deadline clock.Millis
-		id       string
+		// callerDeadline is the instant at which the caller gives up; not before deadline.
+		callerDeadline clock.Millis
+		id             string
 		// parentRepeated is set if the request on whose behalf the call is made is a
 		// repeated one.
 		parentRepeated bool
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -39,6 +39,9 @@
 	if r.HasGoal {
 		call.Goal = now + r.GoalMillis
 	}
+	if g.teams {
+		call.Team = ident.TeamName(r.Headers.Get(g.Dialect.TeamHeader))
+	}
 	g.apply(now, g.gate.Arrive(now, call))
 	if !c.decided {
 		c.wake = make(chan struct{})
--- a/io/proxy/gatetarget.go
+++ b/io/proxy/gatetarget.go
@@ -50,6 +50,14 @@
 	g.apply(now, g.gate.Resize(now, slots, connections))
 }
 
+// SetTeams applies whether the configuration has teams, among which the gate divides its
+// slots.
+func (g *Gateway) SetTeams(teams bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.teams = teams
+}
+
 // RemoveTarget takes the target out of service: waiting and new calls are refused as
 // not run, running ones continue.
 func (g *Gateway) RemoveTarget() {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -102,8 +102,11 @@
 		reschedule chan struct{}
 
 		// mu guards the fields below; it is not held while a request runs.
-		mu     sync.Mutex
-		gate   admit.Gate
+		mu   sync.Mutex
+		gate admit.Gate
+		// teams is set while the configuration has teams. The header with the team's name
+		// is then the ingress's; otherwise it may be the caller's own.
+		teams  bool
 		target *target
 		// announcedAt is the instant of the last announcement, and leaving is set once
 		// the target has stated since then that it leaves.
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -100,6 +100,9 @@
 		// Freshness and Caps decide on requests with access keys; nil admits all of them.
 		Freshness Freshness
 		Caps      Caps
+		// Returns names the time after which a caller that was refused for lack of room may
+		// return; nil leaves it to the dialect. The ingress serializes its calls.
+		Returns *retry.Returns
 		// Dialect defines the header names and response rules of callers and targets.
 		Dialect Dialect
 		// Service is the service of the target beside the node, from which its
@@ -230,8 +233,12 @@
 	in.Picker.SetView(now, v)
 	in.split.Keep(v.HasRoute)
 	in.waitEstimator.Keep(v.HasRoute)
+	hasService := func(name ident.ServiceName) bool { _, ok := v.Service(name); return ok }
 	if in.FailFast != nil {
-		in.FailFast.Keep(func(name ident.ServiceName) bool { _, ok := v.Service(name); return ok })
+		in.FailFast.Keep(hasService)
+	}
+	if in.Returns != nil {
+		in.Returns.Keep(hasService)
 	}
 	in.mu.Unlock()
 	in.view.Store(v)
@@ -300,6 +307,7 @@
 	key := ctx.Request.Header.Peek(headerIdempotencyKey)
 	if c.route.Idempotent || len(key) == 0 || in.Store == nil {
 		resp := in.forward(c)
+		in.nameReturn(c, resp)
 		in.recordAnswer(c, resp)
 		in.reply(ctx, resp, now)
 		return
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -49,6 +49,7 @@
 	in.mu.Unlock()
 	c := &call{
 		ctx: callerCtx, view: v, route: r, team: team, firstTriedAt: now - waited, timeout: timeout, deadline: now + timeout, id: in.nextID(),
+		callerDeadline: now + left,
 		request: wire.Request{
 			Route: r.Name, Class: r.Class, Idempotent: r.Idempotent,
 			HasGoal: r.GoalMillis > 0,
