core/grant, io/node: usage caps over all nodes

A team's cap has to hold for the sum over all nodes. Each team gets a coordinator by rendezvous hashing, which hands out tokens with a lease of 1 s; nodes without one admit a safe part. The platform's bounds switch it on.

--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -27,6 +27,9 @@
 	Lease
 	// Answer is the response to a caller.
 	Answer
+	// Cap is a change of the node that coordinates the usage cap of a team, or of its
+	// availability.
+	Cap
 	// Omitted reports the number of lines that were omitted from the log.
 	Omitted
 )
@@ -45,6 +48,7 @@
 		Service ident.ServiceName
 		Target  ident.TargetID
 		Node    ident.NodeID
+		Team    ident.TeamName
 		Version ident.Version
 		// Source is where a release that was put in force came from.
 		Source string
@@ -81,7 +85,7 @@
 )
 
 // kindNames contains the name of each kind.
-var kindNames = [...]string{"Route", "Admit", "Retry", "Eject", "Member", "Release", "Lease", "Answer", "Omitted"}
+var kindNames = [...]string{"Route", "Admit", "Retry", "Eject", "Member", "Release", "Lease", "Answer", "Cap", "Omitted"}
 
 // String returns the kind's name.
 func (k Kind) String() string {
--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
+	"hickoryrail/core/grant"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
@@ -54,6 +55,8 @@
 		// before they start.
 		dialect proxy.Dialect
 		log     io.Writer
+		// usageCaps are the settings of usage caps of the nodes.
+		usageCaps grant.Config
 	}
 
 	// nodeSource is the platform as one node's source.
@@ -234,7 +237,7 @@
 		t.Fatal(err)
 	}
 	n, err := NewHosted(Hosted{
-		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Settings: s, UsageCaps: h.usageCaps, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -48,8 +48,11 @@
 		readRelease func(v ident.Version, d ident.Digest)
 		needSource  func()
 
+		// caps enforces usage caps; nil without them.
+		caps *caps
+
 		// mu guards the state machines and the fields below. It is acquired before the
-		// locks of ingress and gateway.
+		// locks of ingress, gateway and caps.
 		mu       sync.Mutex
 		table    *member.Table
 		releases *spread.Node
@@ -60,6 +63,10 @@
 		// viewSequence is the sequence number of the member table from which the current
 		// view was built.
 		viewSequence uint64
+		// capsStale reports whether a member has changed since caps received them, and
+		// capsSequence is the sequence number of the member table then.
+		capsStale    bool
+		capsSequence uint64
 		// viewStale reports whether the view has to be rebuilt.
 		viewStale bool
 		// neighbours are the overlay neighbours that were last passed to releases.
@@ -74,6 +81,10 @@
 		f.metrics.malformedControl.Inc()
 		return
 	}
+	if m.Grant != nil {
+		f.receiveGrant(from, m.Grant)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table == nil {
@@ -107,6 +118,7 @@
 	if f.table.Sequence() != f.viewSequence {
 		f.viewStale = true
 	}
+	f.refreshCaps()
 	f.refreshView(now)
 }
 
@@ -257,6 +269,9 @@
 	f.inForce, f.index, f.viewStale = r, view.NewIndex(r), true
 	f.table.SetHeld(r.Version)
 	source := nameSource(from)
+	if f.caps != nil {
+		f.caps.setRelease(&r)
+	}
 	f.metrics.releaseApplied(r.Version, source, f.clock.Now())
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Source: source, Reason: reasonInForce})
 	for _, s := range r.Configuration.Inventory.Services {
@@ -283,8 +298,9 @@
 	f.ingress.SetView(f.index.Join(f.table.Records()), f.table.Size())
 }
 
-// memberChanged logs a state change of a member.
+// memberChanged logs a state change of a member. The caller holds mu.
 func (f *fleet) memberChanged(_, later member.Record, reason string) {
+	f.capsStale = true
 	f.log.Record(logs.Decision{
 		At: f.clock.Now(), Kind: logs.Member, Node: later.Node,
 		Service: later.Service, Target: later.Target, Reason: reason,
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -36,6 +36,7 @@
 	serviceSource   kernel.Name = "release source"
 	serviceEndpoint kernel.Name = "platform endpoint"
 	serviceFinder   kernel.Name = "target finder"
+	serviceCaps     kernel.Name = "usage caps"
 
 	// hostedRenewalTimeoutMillis is the time without a report after which a target is
 	// removed. A report may arrive seconds late; a target that ends without a leave
@@ -158,6 +159,9 @@
 	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
+	if err := n.wireCaps(h.UsageCaps, random); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
@@ -231,6 +235,7 @@
 		{serviceGateway, &unit{open: adaptOpen(n.gateway.Open), run: n.gateway.Run}},
 		{serviceIngress, &unit{open: adaptOpen(n.ingress.Open), run: n.ingress.Run}},
 		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
+		{serviceCaps, &unit{run: n.runCaps}},
 		{serviceSource, &unit{run: w.run}},
 		{serviceRenewal, &unit{run: n.localTarget.run, drain: n.drainRequests}},
 		{serviceFinder, &unit{run: f.run}},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -81,13 +81,15 @@
 	// the peer address is known.
 	tableRandom *rand.Rand
 
-	transport      transport
-	stallMonitor   *stallMonitor
-	fleet          *fleet
-	gateway        *proxy.Gateway
-	reader         *reader
-	ingress        *proxy.Ingress
-	localTarget    *localTarget
+	transport    transport
+	stallMonitor *stallMonitor
+	fleet        *fleet
+	gateway      *proxy.Gateway
+	reader       *reader
+	ingress      *proxy.Ingress
+	localTarget  *localTarget
+	// caps enforces usage caps; nil without them.
+	caps           *caps
 	status         *status
 	adminServer    *admin.StatusServer
 	targetServer   *admin.TargetServer
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -117,6 +117,9 @@
 	if c.Spread != nil && c.Spread.Kind > spread.Busy {
 		return errContent
 	}
+	if c.Grant != nil && !c.Grant.Valid() {
+		return errContent
+	}
 	if c.Member == nil {
 		return nil
 	}
--- a/io/wire/control_test.go
+++ b/io/wire/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/grant"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
@@ -52,6 +54,12 @@
 			Heartbeats: []spread.Heartbeat{{Region: "r", Epoch: 1, Count: 9}},
 		}},
 		{Spread: &spread.Message{Kind: spread.SnapshotBody, Version: 2, Digest: two.Digest, Body: body, Sum: sum[:]}},
+		{Grant: &grant.Message{Kind: grant.Request, Run: 1 << 63, Sequence: 4, Version: 2, Asks: []grant.Ask{{
+			Team: "north", RequestsPerSecond: 860, BurstRequests: 860, Held: 3, Waiting: 2, Arrived: 9, Used: -1, Safe: 4, Demand: 8.5,
+		}}}},
+		{Grant: &grant.Message{Kind: grant.Reply, Run: 1 << 63, Sequence: 4, Grants: []grant.Grant{{
+			Team: "north", Tokens: 7, HoldMillis: 100, SpreadMillis: 400, Warming: true, Declined: true,
+		}}}},
 	}
 }
 
@@ -86,6 +94,19 @@
 		{Member: &member.Message{Updates: []member.Update{{Record: member.Record{Node: long}}}}},
 		{Member: &member.Message{Updates: []member.Update{{Record: member.Record{Node: "a", Incarnation: 1<<64 - 1}}}}},
 		{Spread: &spread.Message{Kind: 77}},
+		{Grant: &grant.Message{Kind: 77}},
+		{Grant: &grant.Message{Asks: make([]grant.Ask, grant.MaxEntries+1)}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{RequestsPerSecond: 1}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: ident.TeamName(long), RequestsPerSecond: 1}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a"}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a", RequestsPerSecond: math.NaN()}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a", RequestsPerSecond: 1, BurstRequests: -1}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a", RequestsPerSecond: 1, Demand: math.Inf(1)}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a", RequestsPerSecond: 1, Held: 1 << 31}}}},
+		{Grant: &grant.Message{Asks: []grant.Ask{{Team: "a", RequestsPerSecond: 1, Used: -1 << 31}}}},
+		{Grant: &grant.Message{Grants: []grant.Grant{{Team: "a"}}}},
+		{Grant: &grant.Message{Kind: grant.Reply, Grants: []grant.Grant{{Team: "a", HoldMillis: -1}}}},
+		{Grant: &grant.Message{Kind: grant.Reply, Grants: []grant.Grant{{Team: "a", Tokens: 1 << 31}}}},
 	} {
 		_, err := EncodeControl(c)
 		is.True(err != nil)
@@ -133,6 +154,15 @@
 			table.Records()
 			return
 		}
+		if c.Grant != nil {
+			agent := grant.NewAgent(now, grant.Config{WindowMillis: clock.Second}, "n9", 1, random)
+			agent.SetMembers(now, []grant.Member{{Node: "n9"}}, 1)
+			agent.Receive(now, grant.Member{Node: "n8"}, c.Grant)
+			agent.Tick(now + clock.Minute)
+		}
+		if c.Spread == nil {
+			return
+		}
 		node := spread.New(spread.DefaultConfig(), random)
 		node.SetNeighbours(now, []spread.Neighbour{{Node: "n8"}})
 		node.Receive(now, "n8", *c.Spread)
