--- a/io/logs/decision.go
+++ b/io/logs/decision.go
@@ -48,7 +48,6 @@
 		Service ident.ServiceName
 		Target  ident.TargetID
 		Node    ident.NodeID
-		Team    ident.TeamName
 		Version ident.Version
 		// Team is the team of the caller's access key; empty without one.
 		Team ident.TeamName
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -207,7 +207,6 @@
 	setField(f, "Service", d.Service)
 	setField(f, "Target", d.Target)
 	setField(f, "Node", d.Node)
-	setField(f, "Team", d.Team)
 	setField(f, "Version", d.Version)
 	setField(f, "Source", d.Source)
 	setField(f, "Era", d.Era)
