--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -47,6 +47,8 @@
 		Deadline clock.Millis
 		// FailFast refuses the call at once unless a slot is free now or soon.
 		FailFast bool
+		// paceAtStart is the value of pace.relative when the call started.
+		paceAtStart float64
 	}
 
 	// queue holds the waiting calls of a gate in the gate's Order.
@@ -110,6 +112,8 @@
 		running map[ident.RequestID]Call
 		// rate bounds the starts by the limit that the target stated.
 		rate rate
+		// pace scales the expected run times by what the target states.
+		pace pace
 		// waiting is nil until queue creates it.
 		waiting queue
 		// actions is the reused buffer of the returned slices.
@@ -274,6 +278,7 @@
 		g.announced = 0
 	}
 	g.rate.refill(now)
+	g.pace.refresh(now)
 	if g.queued() > 0 {
 		actions = g.waiting.expire(now, actions)
 	}
@@ -294,6 +299,7 @@
 	if g.running == nil {
 		g.running = make(map[ident.RequestID]Call)
 	}
+	c.paceAtStart = g.pace.relative
 	g.running[c.ID] = c
 	g.rate.take()
 	g.queue().started(now, c)
--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -34,7 +34,7 @@
 		// late holds the calls that will miss their goals, in order of deadline. They
 		// start only when no other call waits.
 		late []Call
-		// averageRun is the moving average of each rank's run time; 0 until a call has
+		// averageRun is the moving average of each rank's run time at the usual pace; 0 until a call has
 		// finished.
 		averageRun [LastRank + 1]clock.Millis
 		// pressedUntil is until when each rank of new requests goes before all calls of
@@ -48,7 +48,7 @@
 // push queues c if it can be answered by its goal, or else among the late calls if
 // there is room. It refuses c if the queue is full or if c cannot end by its deadline.
 func (q *goalQueue) push(now clock.Millis, c Call, actions []Action) []Action {
-	end := now + q.expectedWait(now, c) + q.expectedRun(c.Rank)
+	end := now + q.expectedEnd(now, c, q.usualRun(c.Rank))
 	if !c.Rank.IsInner() && c.Goal > now && end > c.Goal {
 		q.pressedUntil[c.Rank] = now + pressedMillis
 	}
@@ -205,9 +205,10 @@
 // started does nothing, since ranks have neither shares nor ageing.
 func (*goalQueue) started(clock.Millis, Call) {}
 
-// finished adds the run time of c to the average of its rank.
+// finished adds the run time of c at the usual pace to the average of its rank.
 func (q *goalQueue) finished(c Call, took clock.Millis) {
-	updateAverage(&q.averageRun[min(c.Rank, LastRank)], took)
+	average := &q.averageRun[min(c.Rank, LastRank)]
+	updateAverage(average, q.gate.pace.normalize(took, c.paceAtStart, *average))
 }
 
 // nextExpiry returns the last instant at which every waiting call can still end by its
@@ -245,17 +246,23 @@
 	return slices.ContainsFunc(q.late, matches)
 }
 
-// expectedWait returns how long c would wait: the expected run times of the calls ahead
+// expectedWait returns how long c would wait.
+func (q *goalQueue) expectedWait(now clock.Millis, c Call) clock.Millis {
+	return q.expectedEnd(now, c, 0)
+}
+
+// expectedEnd returns the time until c would end if it ran for run at the usual pace. It
+// would wait for the expected run times of the calls ahead
 // of it and one average run time for the running calls, divided by the slots, but at
 // least until the limit of requests per second allows it to start.
-func (q *goalQueue) expectedWait(now clock.Millis, c Call) clock.Millis {
+func (q *goalQueue) expectedEnd(now clock.Millis, c Call, run clock.Millis) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
-		return 0 // announced slots expire by themselves; the deadline bounds the wait
+		return q.gate.pace.scale(run) // announced slots expire by themselves; the deadline bounds the wait
 	}
 	var work clock.Millis
 	for _, r := range q.gate.running {
-		work += q.expectedRun(min(r.Rank, LastRank)) / clock.Millis(len(q.gate.running))
+		work += q.usualRun(min(r.Rank, LastRank)) / clock.Millis(len(q.gate.running))
 	}
 	ahead := 0
 	for rank := range LastRank + 1 {
@@ -263,19 +270,25 @@
 			continue
 		}
 		ahead += len(q.lists[rank])
-		work += clock.Millis(len(q.lists[rank])) * q.expectedRun(rank)
+		work += clock.Millis(len(q.lists[rank])) * q.usualRun(rank)
 	}
 	sameRank := 0
 	for sameRank < len(q.lists[c.Rank]) && q.lists[c.Rank][sameRank].effectiveGoal() <= c.effectiveGoal() {
 		sameRank++
 	}
-	forSlot := (work + clock.Millis(sameRank)*q.expectedRun(c.Rank)) / clock.Millis(limit)
-	return max(forSlot, q.gate.rate.wait(ahead+sameRank))
+	forSlot := (work + clock.Millis(sameRank)*q.usualRun(c.Rank)) / clock.Millis(limit)
+	pace := &q.gate.pace
+	return max(pace.scale(forSlot+run), q.gate.rate.wait(ahead+sameRank)+pace.scale(run))
 }
 
-// expectedRun returns the average run time of a rank, or RunMillis before its first call
-// has finished.
+// expectedRun returns the expected run time of a call of a rank that starts now.
 func (q *goalQueue) expectedRun(rank Rank) clock.Millis {
+	return q.gate.pace.scale(q.usualRun(rank))
+}
+
+// usualRun returns the average run time of a rank at the usual pace, or RunMillis before
+// its first call has finished.
+func (q *goalQueue) usualRun(rank Rank) clock.Millis {
 	if q.averageRun[rank] > 0 {
 		return q.averageRun[rank]
 	}
--- a/io/proxy/gatenotice.go
+++ b/io/proxy/gatenotice.go
@@ -22,6 +22,7 @@
 	t.noticed = func(sentAt clock.Millis, n report.Notice) { g.noticed(t, sentAt, n) }
 	g.target, g.leaving = t, false
 	g.gate.ResetLimit()
+	g.gate.ResetPace()
 }
 
 // noticed handles what a target stated in an answer to a request that was not sent
@@ -41,6 +42,11 @@
 		return false
 	}
 	now := g.Clock.Now()
+	if l, ok := n.Load.Get(); ok {
+		if pace, ok := l.Pace.Get(); ok {
+			g.gate.SetPace(now, pace)
+		}
+	}
 	if !n.LimitMalformed {
 		g.limitNoticed(now, sentAt, n.Limit)
 	}
@@ -77,6 +83,13 @@
 	})
 }
 
+// pace returns the factor by which the gate expects calls to run longer than usual.
+func (g *Gateway) pace() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Pace()
+}
+
 // limitPerSecond returns the limit that the gate applies, or noLimit.
 func (g *Gateway) limitPerSecond() float64 {
 	g.mu.Lock()
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -170,7 +170,7 @@
 	g.reschedule = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
 	g.byCallerID = make(map[ident.RequestID]*gateCall)
-	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond)
+	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond, g.pace)
 }
 
 // Running returns the request at the local target to which its caller gave id; false if
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -35,7 +35,7 @@
 )
 
 // register creates the collectors and registers them with r.
-func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load, limit func() float64) error {
+func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load, limit, pace func() float64) error {
 	decisions := stats.Counters("gateway_decisions_total", "Decisions of the admission gate.", "decision", "class")
 	for i := range classCount {
 		class := model.Class(i).String()
@@ -54,5 +54,6 @@
 	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.leaving, m.run,
 		stats.GaugeFunc("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
 		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }),
-		stats.GaugeFunc("gateway_limit_per_second", "Requests per second that the target stated as its limit; -1 without one.", limit))
+		stats.GaugeFunc("gateway_limit_per_second", "Requests per second that the target stated as its limit; -1 without one.", limit),
+		stats.GaugeFunc("gateway_pace", "Factor by which calls are expected to run longer than usual, as the target states it.", pace))
 }
