io/proxy: the test of the stated pace starts from the usual one

Cause: the gate takes a pace relative to its average, so that the first figure of a target changes nothing; the test expected it to.

Change: the target of the test states 1 and then 2.5.

--- a/io/proxy/notice_test.go
+++ b/io/proxy/notice_test.go
@@ -67,18 +67,20 @@
 // states in an answer, or that keeps it for another target.
 func TestGateKeepsStatedPace(t *testing.T) {
 	is := is.New(t)
-	s := newScriptedTarget(t, "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nPace: 2.5\r\nContent-Length: 2\r\n\r\nok", false)
+	s := newScriptedTarget(t, "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok", false)
+	figure := 1.0
 	d := customDialect()
-	d.Notice = func(header func(string) []byte) report.Notice {
-		v, _ := strconv.ParseFloat(string(header("Pace")), 64)
-		return report.Notice{Load: option.Some(report.TargetLoad{Slots: 9, Pace: option.Some(v)})}
+	d.Notice = func(func(string) []byte) report.Notice {
+		return report.Notice{Load: option.Some(report.TargetLoad{Slots: 9, Pace: option.Some(figure)})}
 	}
 	now := clock.NewManual(1000)
 	g := &Gateway{Self: "node", Incarnation: gateIncarnation, Clock: now, Dialect: d, Order: admit.ByGoal}
 	is.NoErr(g.Open())
 	is.NoErr(g.Announce(Announcement{Target: "t-1", Address: s.address, Slots: 9, Connections: 9}))
-	is.Equal(g.pace(), 1.0)
 	is.Equal(g.Forward(context.Background(), customRequest(0, true)).Verdict, result.Ran)
+	is.Equal(g.pace(), 1.0)
+	figure = 2.5
+	is.Equal(g.Forward(context.Background(), customRequest(1, true)).Verdict, result.Ran)
 	is.True(g.pace() > 2.4 && g.pace() < 2.6)
 	is.NoErr(g.Announce(Announcement{Target: "t-2", Address: s.address, Slots: 9, Connections: 9}))
 	is.Equal(g.pace(), 1.0)
