--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -53,6 +53,8 @@
 
 		// charged is the expected run time for which the team was charged at the start.
 		charged clock.Millis
+		// paceAtStart is the value of pace.relative when the call started.
+		paceAtStart float64
 	}
 
 	// queue holds the waiting calls of a gate in the gate's Order.
@@ -116,6 +118,8 @@
 		running map[ident.RequestID]Call
 		// rate bounds the starts by the limit that the target stated.
 		rate rate
+		// pace scales the expected run times by what the target states.
+		pace pace
 		// waiting is nil until queue creates it.
 		waiting queue
 		// actions is the reused buffer of the returned slices.
@@ -280,6 +284,7 @@
 		g.announced = 0
 	}
 	g.rate.refill(now)
+	g.pace.refresh(now)
 	if g.queued() > 0 {
 		actions = g.waiting.expire(now, actions)
 	}
@@ -300,6 +305,7 @@
 	if g.running == nil {
 		g.running = make(map[ident.RequestID]Call)
 	}
+	c.paceAtStart = g.pace.relative
 	g.rate.take()
 	c.charged = g.queue().started(now, c)
 	g.running[c.ID] = c
