--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -326,8 +326,12 @@
 				Service: ident.ServiceName(name.Draw(t, "service")), Class: model.Class(rapid.IntRange(0, 2).Draw(t, "class")),
 				Idempotent: rapid.Bool().Draw(t, "idempotent"), TimeoutMillis: clock.Millis(rapid.Float64Range(0.001, 1e5).Draw(t, "timeout")),
 				MaxAttempts: rapid.IntRange(1, 5).Draw(t, "attempts"), HedgeAfterMillis: clock.Millis(rapid.IntRange(-1, 9).Draw(t, "hedge")),
+				Anonymous: rapid.Bool().Draw(t, "anonymous"),
 			})
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "teams") {
+			c.Rules.Teams = append(c.Rules.Teams, drawTeam(t))
+		}
 		c.Inventory.Services = []model.Service{{Name: ident.ServiceName(name.Draw(t, "inventory")), Slots: ident.Slots(rapid.IntRange(1, 9).Draw(t, "slots"))}}
 		text, err := json.Marshal(NewDocument(c))
 		if err != nil {
--- a/io/admin/document.go
+++ b/io/admin/document.go
@@ -20,6 +20,7 @@
 	// RulesDocument holds the rules of a Document.
 	RulesDocument struct {
 		Routes []RouteDocument
+		Teams  []TeamDocument `json:",omitempty"`
 	}
 
 	// RouteDocument is one route of a Document.
@@ -32,6 +33,7 @@
 		TimeoutMillis    clock.Millis
 		MaxAttempts      int
 		HedgeAfterMillis clock.Millis
+		Anonymous        bool `json:",omitempty"`
 	}
 )
 
@@ -42,13 +44,17 @@
 		d.Rules.Routes[i] = RouteDocument{
 			Name: r.Name, PathPrefix: r.PathPrefix, Service: r.Service, Class: r.Class.String(), Idempotent: r.Idempotent,
 			TimeoutMillis: r.TimeoutMillis, MaxAttempts: r.MaxAttempts, HedgeAfterMillis: r.HedgeAfterMillis,
+			Anonymous: r.Anonymous,
 		}
 	}
+	for i := range c.Rules.Teams {
+		d.Rules.Teams = append(d.Rules.Teams, newTeamDocument(&c.Rules.Teams[i]))
+	}
 	return d
 }
 
 // Configuration returns the configuration of the document, or model.Faults for
-// unknown classes. It does not validate the configuration otherwise.
+// unknown classes and malformed digests. It does not validate the configuration otherwise.
 func (d Document) Configuration() (model.Configuration, error) {
 	c := model.Configuration{Inventory: d.Inventory}
 	var faults model.Faults
@@ -62,8 +68,13 @@
 		c.Rules.Routes = append(c.Rules.Routes, model.Route{
 			Name: r.Name, PathPrefix: r.PathPrefix, Service: r.Service, Class: class, Idempotent: r.Idempotent,
 			TimeoutMillis: r.TimeoutMillis, MaxAttempts: r.MaxAttempts, HedgeAfterMillis: r.HedgeAfterMillis,
+			Anonymous: r.Anonymous,
 		})
 	}
+	for i := range d.Rules.Teams {
+		t, found := d.Rules.Teams[i].team()
+		c.Rules.Teams, faults = append(c.Rules.Teams, t), append(faults, found...)
+	}
 	if len(faults) > 0 {
 		return model.Configuration{}, faults
 	}
--- a/io/files/document.go
+++ b/io/files/document.go
@@ -76,6 +76,9 @@
 		shown = "{...}"
 	}
 	shown, _, _ = strings.Cut(shown, "\n")
+	if name == keysKey {
+		shown = "[...]" // an access key must not appear in a message
+	}
 	if e == nil {
 		d.faults = append(d.faults, Fault{File: d.file, Line: line, Key: name, Value: shown, Allowed: d.allowedTables()})
 		return
@@ -85,7 +88,26 @@
 		d.faults = append(d.faults, fault)
 		return
 	}
-	e.values[name] = value{kind: v.Kind, data: string(v.Data), shown: shown, line: line}
+	e.values[name] = value{kind: v.Kind, data: string(v.Data), items: items(v), shown: shown, line: line}
+}
+
+// items returns the strings of an array; nil for another value and for an array that holds
+// other values too.
+func items(v *unstable.Node) []string {
+	if v.Kind != unstable.Array {
+		return nil
+	}
+	list := []string{}
+	for it := v.Children(); it.Next(); {
+		switch n := it.Node(); n.Kind {
+		case unstable.String:
+			list = append(list, string(n.Data))
+		case unstable.Comment:
+		default:
+			return nil
+		}
+	}
+	return list
 }
 
 // allowedTables returns the names of the tables that the file may have, for faults.
--- a/io/files/element.go
+++ b/io/files/element.go
@@ -1,7 +1,9 @@
 package files
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -18,6 +20,8 @@
 		kind unstable.Kind
 		// data is the decoded text of a string, and the raw text of other scalars.
 		data string
+		// items holds the items of an array of strings; nil for other values.
+		items []string
 		// shown is the value as faults show it: as it is written in the file, on
 		// one line.
 		shown string
@@ -36,6 +40,8 @@
 		// decoded holds the decoded values as model.Fault shows them; 0 or empty
 		// stands for a value that is missing or faulty.
 		decoded map[string]string
+		// listed does the same for the items of a list.
+		listed map[string][]string
 		// faulty holds the keys for which a fault is recorded.
 		faulty map[string]bool
 		// incomplete is true if the file could not be read to its end, so that missing
@@ -123,6 +129,32 @@
 	return v.data == "true"
 }
 
+// number returns an optional number.
+func (e *element) number(name string) float64 {
+	const allowed = "a number"
+	var out struct{ V float64 }
+	if v, ok := e.get(name, allowed, false, unstable.Integer, unstable.Float); ok {
+		err := toml.Unmarshal([]byte("V = "+v.data), &out)
+		if err != nil || math.IsNaN(out.V) || math.IsInf(out.V, 0) {
+			e.fault(name, allowed)
+			out.V = 0
+		}
+	}
+	e.decoded[name] = fmt.Sprint(out.V)
+	return out.V
+}
+
+// texts returns an optional list of strings, none of which is empty.
+func (e *element) texts(name, allowed string) []string {
+	v, ok := e.get(name, allowed, false, unstable.Array)
+	if ok && (v.items == nil || slices.Contains(v.items, "")) {
+		e.fault(name, allowed)
+		v.items = nil
+	}
+	e.decoded[name] = ""
+	return v.items
+}
+
 // class returns a class by its name.
 func (e *element) class(name string) model.Class {
 	allowed := strings.Join(model.ClassNames(), ", ")
--- a/io/files/files.go
+++ b/io/files/files.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -14,10 +15,11 @@
 )
 
 const (
-	// domainTable, serviceTable and routeTable name the lists of tables.
+	// domainTable to teamTable name the lists of tables.
 	domainTable  = "FailureDomains"
 	serviceTable = "Services"
 	routeTable   = "Routes"
+	teamTable    = "Teams"
 	// maxFileBytes bounds the size of a file; the expected inventory has a few kilobytes.
 	maxFileBytes = 4 << 20
 )
@@ -65,7 +67,7 @@
 // syntax error, and references from the other file into it are not checked.
 func Parse(inventory, rules Source) (model.Configuration, error) {
 	inventoryDoc := parse(inventory, domainTable, serviceTable)
-	rulesDoc := parse(rules, routeTable)
+	rulesDoc := parse(rules, routeTable, teamTable)
 	var c model.Configuration
 	elements := append(append([]*element{}, inventoryDoc.elements...), rulesDoc.elements...)
 	faults := append(append(Faults{}, inventoryDoc.faults...), rulesDoc.faults...)
@@ -101,7 +103,10 @@
 			Service: ident.ServiceName(e.text("Service")), Class: e.class("Class"),
 			Idempotent: e.boolean("Idempotent"), TimeoutMillis: e.millis("TimeoutMillis", true),
 			MaxAttempts: e.integer("MaxAttempts"), HedgeAfterMillis: e.millis("HedgeAfterMillis", false),
+			Anonymous: e.boolean("Anonymous"),
 		})
+	case teamTable:
+		c.Rules.Teams = append(c.Rules.Teams, e.team())
 	}
 }
 
@@ -131,7 +136,8 @@
 func locate(elements []*element, table, name, key, value string) *element {
 	for i := len(elements) - 1; i >= 0; i-- {
 		e := elements[i]
-		if e.table == table && e.decoded["Name"] == name && e.decoded[key] == value && !e.faulty[key] {
+		if e.table == table && e.decoded["Name"] == name && !e.faulty[key] &&
+			(e.decoded[key] == value || slices.Contains(e.listed[key], value)) {
 			return e
 		}
 	}
@@ -167,6 +173,7 @@
 		TimeoutMillis                    float64
 		MaxAttempts                      int
 		HedgeAfterMillis                 float64
+		Anonymous                        bool `toml:",omitempty"`
 	}
 	type service struct {
 		Name               string
@@ -177,7 +184,8 @@
 	}
 	// Without omitempty an empty list would be written as a value, which Parse refuses.
 	var ruleTables struct {
-		Routes []route `toml:",omitempty"`
+		Routes []route    `toml:",omitempty"`
+		Teams  []teamText `toml:",omitempty"`
 	}
 	inventoryTables := struct {
 		FailureDomains []model.FailureDomain `toml:",omitempty"`
@@ -191,8 +199,12 @@
 			Name: string(r.Name), PathPrefix: r.PathPrefix, Service: string(r.Service), Class: r.Class.String(),
 			Idempotent: r.Idempotent, TimeoutMillis: float64(r.TimeoutMillis),
 			MaxAttempts: r.MaxAttempts, HedgeAfterMillis: float64(r.HedgeAfterMillis),
+			Anonymous: r.Anonymous,
 		})
 	}
+	for i := range c.Rules.Teams {
+		ruleTables.Teams = append(ruleTables.Teams, formatTeam(&c.Rules.Teams[i]))
+	}
 	if inventory, err = toml.Marshal(inventoryTables); err != nil {
 		return nil, nil, err
 	}
--- a/io/files/files_test.go
+++ b/io/files/files_test.go
@@ -225,6 +225,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(inventory), []byte(rules))
 	f.Add([]byte("[[Services]]\nName = \"a\"\nName = 1\n[[Services.X]]\n"), []byte("[[Routes]]\nClass = \"\\u0041\"\n"))
+	f.Add([]byte(""), []byte(teams+"[[Teams]]\nName = \"x\"\nKeys = [\"k-1\", \"k-1\"]\nRequestsPerSecond = -0.0\n"))
 	f.Add([]byte("a = [\n"), []byte("\"\" = 1\n[x"))
 	f.Fuzz(func(t *testing.T, i, r []byte) {
 		c, err := Parse(Source{Name: "i", Body: i}, Source{Name: "r", Body: r})
