io/proxy: bound the log lines about rejected requests

Cause: a team far beyond its cap is rejected hundreds of times a second, and a node on the platform writes 200 decision lines a second in all, so the lines of other decisions were lost. Change: at most 20 such lines a second and node; the next one reports how many were left out.

--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -254,6 +254,10 @@
 			d.Request = ident.RequestID(id)
 		}
 	}
+	if _, ok := rejectionLabels[resp.Reason]; ok {
+		in.recordRejection(d)
+		return
+	}
 	in.Log.Record(d)
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -134,10 +134,11 @@
 		// handlers.
 		background conc.WaitGroup
 
-		// mu guards Picker, Policy, Limiter, FailFast, split, waitEstimator and
-		// events; it is never held while waiting.
-		mu    sync.Mutex
-		split route.Split
+		// mu guards Picker, Policy, Limiter, FailFast, split, waitEstimator, rejections
+		// and events; it is never held while waiting.
+		mu         sync.Mutex
+		split      route.Split
+		rejections rejectionLog
 		// waitEstimator estimates by route how long callers have waited before a try.
 		waitEstimator admit.WaitEstimator[ident.RouteName]
 		events        []route.Event
