core/fresh: proof that the configuration is the newest

Cause: under strict revocation a node may admit requests with keys only while it can prove that its release was the newest less than revoke-ms minus a margin ago. Nodes that draw by lot call the store in place of refused leaders.

--- a/core/feed/answer.go
+++ b/core/feed/answer.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 )
@@ -23,5 +24,7 @@
 		// Position is the state up to which the store was read. In the answer to a
 		// failed call, only its era is set, if it is known.
 		Position Position
+		// StoreMillis is the store's steady clock at the answer; 0 if it does not state it.
+		StoreMillis clock.Millis
 	}
 )
--- a/core/feed/follower.go
+++ b/core/feed/follower.go
@@ -112,6 +112,11 @@
 	return f.position
 }
 
+// Newest returns the highest version that was read.
+func (f *Follower) Newest() ident.Version {
+	return f.newest
+}
+
 // RequireRead makes the next step a Read.
 func (f *Follower) RequireRead() {
 	f.readDue = true
--- /dev/null
+++ b/core/fresh/store.go
@@ -0,0 +1,90 @@
+package fresh
+
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+type (
+	// Answer is an answer of the store to a read or a wait.
+	Answer struct {
+		// Version is the newest release that the node has read from the store.
+		Version ident.Version
+		// SentAt is when the call was sent.
+		SentAt clock.Millis
+		// Era and StoreMillis are those of the answer; 0 if the store does not state them.
+		Era         ident.Era
+		StoreMillis clock.Millis
+	}
+
+	// store is what a node knows of the store's clock.
+	store struct {
+		era ident.Era
+		// offset is how far the store's clock is ahead in that era.
+		offset offset
+		// pending is the proof of answers that wait for confirmation; version 0 if none do.
+		// askedAt is when the neighbours were asked to confirm, and deadline when it counts
+		// without them; 0 if no confirmation is needed.
+		pending           proof
+		askedAt, deadline clock.Millis
+	}
+)
+
+// confirmMillis is how long the answers of a store in an era that is new to the node wait
+// until a neighbour has answered.
+const confirmMillis = 500 * clock.Millis(1)
+
+// Answered takes in an answer of the store. Its proof is from the time at which the call
+// was sent, or from a later one that follows from the store's time: a call that the store
+// held was answered long after it was sent.
+//
+// A store that was restored from an older copy may lack a release by which a key was
+// revoked and which other nodes hold. So answers of a new era count only once a neighbour
+// has told which version it knows; it answers at once if it is reachable.
+func (n *Node) Answered(now clock.Millis, a Answer) []Action {
+	var out []Action
+	if a.Era != n.store.era {
+		n.store = store{era: a.Era}
+		if len(n.neighbours) > 0 {
+			n.store.askedAt, n.store.deadline = now, now+confirmMillis
+			out = n.askAll(now)
+		}
+	}
+	at := a.SentAt
+	if a.StoreMillis > 0 {
+		n.store.offset.observe(a.SentAt, a.StoreMillis)
+		at = max(at, n.store.offset.convert(now, a.StoreMillis))
+	}
+	switch {
+	case a.Version == 0:
+	case n.store.deadline > 0 && n.store.pending.version > 0:
+		n.store.pending = proof{max(a.Version, n.store.pending.version), max(at, n.store.pending.at)}
+	case n.store.deadline > 0:
+		n.store.pending = proof{a.Version, at}
+	default:
+		n.proofs.add(a.Version, at)
+	}
+	return append(out, n.forward(now)...)
+}
+
+// confirm makes the answers of the store's present era count.
+func (n *Node) confirm() {
+	if p := n.store.pending; p.version > 0 {
+		n.proofs.add(p.version, p.at)
+	}
+	n.store.pending, n.store.deadline = proof{}, 0
+}
+
+// askAll asks all neighbours for their proofs.
+func (n *Node) askAll(now clock.Millis) []Action {
+	var out []Action
+	for _, b := range n.neighbours {
+		out = append(out, n.message(now, b.Node, n.peers[b.Node], true))
+	}
+	return out
+}
+
+// StoreTimed reports whether the store states its time.
+func (n *Node) StoreTimed() bool {
+	return n.store.offset.known
+}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -47,6 +47,8 @@
 		// newest one. Neither may block.
 		readRelease func(v ident.Version, d ident.Digest)
 		needSource  func()
+		// freshness is nil unless revocation is strict.
+		freshness *freshness
 
 		// mu guards the state machines and the fields below. It is acquired before the
 		// locks of ingress and gateway.
@@ -74,6 +76,10 @@
 		f.metrics.malformedControl.Inc()
 		return
 	}
+	if m.Fresh != nil {
+		f.freshness.receive(from, *m.Fresh)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table == nil {
@@ -104,6 +110,7 @@
 	f.gossip(f.table.Tick(now))
 	f.setNeighbours(now)
 	f.perform(f.releases.Tick(now))
+	f.freshness.tick(f.table.Size())
 	if f.table.Sequence() != f.viewSequence {
 		f.viewStale = true
 	}
@@ -120,6 +127,7 @@
 	if !slices.Equal(neighbours, f.neighbours) {
 		f.neighbours = neighbours
 		f.perform(f.releases.SetNeighbours(now, neighbours))
+		f.freshness.setNeighbours(neighbours)
 	}
 }
 
@@ -281,6 +289,7 @@
 	}
 	f.viewStale, f.viewSequence = false, f.table.Sequence()
 	f.ingress.SetView(f.index.Join(f.table.Records()), f.table.Size())
+	f.freshness.setHeld(f.inForce.Version)
 }
 
 // memberChanged logs a state change of a member.
--- /dev/null
+++ b/io/node/freshness.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/feed"
+	"hickoryrail/core/fresh"
+	"hickoryrail/core/ident"
+	"hickoryrail/core/spread"
+	"hickoryrail/io/boottime"
+	"hickoryrail/io/logs"
+	"hickoryrail/io/proxy"
+	"hickoryrail/io/stats"
+	"hickoryrail/io/wire"
+)
+
+const (
+	// promptAgeMillis is the age of the newest proof from which on a leader asks the store
+	// to answer at once.
+	promptAgeMillis = 1800 * clock.Millis(1)
+	// clockReadMillis is the time after which a leader asks the store to answer at once so
+	// that it knows the store's clock closely. The bound that it has grows by 1 ms a second.
+	clockReadMillis = 2 * clock.Minute
+	// untimedHoldMillis bounds the hold of a leader's wait if the store does not state its
+	// time: the proof is then as old as the call.
+	untimedHoldMillis = 500 * clock.Millis(1)
+	// holdJitter is the largest part by which the hold of a leader's wait is cut at random,
+	// so that leaders whose waits a release has ended do not call at the same times.
+	holdJitter = 0.2
+	// longHoldMillis is the hold from which on a wait is abandoned when the node begins to
+	// substitute for others.
+	longHoldMillis = 5 * clock.Second
+	// minRetryMillis and maxRetryMillis bound the time after which a refused caller is told
+	// to retry: soon at first, because another node may have a proof, later while the store
+	// is away.
+	minRetryMillis = 200 * clock.Millis(1)
+	maxRetryMillis = 1 * clock.Second
+)
+
+// Reasons of logged decisions on the proof.
+const (
+	reasonProofLost  = "configuration is not proven to be the newest: requests with keys are refused"
+	reasonProofFound = "configuration is proven to be the newest again"
+)
+
+// freshness connects the proof that the configuration is the newest to the fleet, the
+// watcher and the ingress. It is safe for concurrent use, and its methods may be called on
+// nil, which means that revocation is not strict. Its lock is acquired after that of fleet.
+type freshness struct {
+	clock clock.Clock
+	// wall is the clock of log lines.
+	wall clock.Clock
+	log  logs.Sink
+	// send queues a message; it must not block.
+	send func(to ident.NodeID, address string, m wire.Control)
+	// due holds a signal that the node begins to substitute for others; its capacity is 1.
+	due           chan struct{}
+	substitutions prometheus.Counter
+
+	// validUntil holds the bits of the time until which requests are admitted.
+	validUntil atomic.Uint64
+
+	mu         sync.Mutex
+	node       *fresh.Node
+	substitute fresh.Substitute
+	random     *rand.Rand
+	// held is the version in force. proven is whether it was proven to be the newest at the
+	// last tick, and lost whether it has ceased to be and that was logged.
+	held         ident.Version
+	proven, lost bool
+	// promptAt is when the store was last asked to answer at once, and overhead how much
+	// longer than its hold the last wait took.
+	promptAt, overhead clock.Millis
+}
+
+var _ proxy.Freshness = (*freshness)(nil)
+
+// newFreshness returns the state of a node, or nil if revocation is not strict. c is the
+// clock of the proof; nil means the machine's.
+func newFreshness(config fresh.Config, c, wall clock.Clock, log logs.Sink, random *rand.Rand) *freshness {
+	if !config.Enabled() {
+		return nil
+	}
+	if c == nil {
+		c = boottime.Clock{}
+	}
+	f := &freshness{
+		clock: c, wall: wall, log: log, due: make(chan struct{}, 1), random: random,
+		node: fresh.New(config, random), substitute: fresh.Substitute{Rand: random}, promptAt: -clock.Forever,
+		substitutions: stats.Counter("proof_substitutions_total", "Times that this node began to call the store in place of the nodes that should."),
+	}
+	f.publish()
+	return f
+}
+
+// register registers the metrics.
+func (f *freshness) register(r prometheus.Registerer) error {
+	if f == nil {
+		return nil
+	}
+	age := stats.GaugeFunc("proof_age_seconds", "Time since the release in force was known to be the newest; -1 without a proof.", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if age := f.node.Age(f.clock.Now()); age < clock.Forever/2 {
+			return float64(age / clock.Second)
+		}
+		return -1
+	})
+	return stats.Register(r, age, f.substitutions)
+}
+
+// Check reports whether requests with keys may be admitted.
+func (f *freshness) Check() (clock.Millis, bool) {
+	late := f.clock.Now() - clock.Millis(math.Float64frombits(f.validUntil.Load()))
+	if late < 0 {
+		return 0, true
+	}
+	if late > clock.Forever/2 {
+		return minRetryMillis, false // there has been no proof yet
+	}
+	return min(max(late/2, minRetryMillis), maxRetryMillis), false
+}
+
+// now returns the time of the proof's clock, or 0 if revocation is not strict.
+func (f *freshness) now() clock.Millis {
+	if f == nil {
+		return 0
+	}
+	return f.clock.Now()
+}
+
+// receive handles a message of another node.
+func (f *freshness) receive(from ident.NodeID, m fresh.Message) {
+	f.update(func(now clock.Millis) []fresh.Action { return f.node.Receive(now, from, m) })
+}
+
+// setNeighbours passes on a changed set of overlay neighbours.
+func (f *freshness) setNeighbours(neighbours []spread.Neighbour) {
+	f.update(func(now clock.Millis) []fresh.Action {
+		list := make([]fresh.Neighbour, len(neighbours))
+		for i, b := range neighbours {
+			list[i] = fresh.Neighbour(b)
+		}
+		return f.node.SetNeighbours(now, list)
+	})
+}
+
+// setHeld records the version by which the ingress routes.
+func (f *freshness) setHeld(v ident.Version) {
+	f.update(func(clock.Millis) []fresh.Action {
+		f.held = v
+		f.node.SetHeld(v)
+		return nil
+	})
+}
+
+// answered takes in an answer of the store to a call that was sent at a time and that the
+// store was asked to hold. version is the newest that the node has read.
+func (f *freshness) answered(sentAt, hold clock.Millis, version ident.Version, a feed.Answer) {
+	f.update(func(now clock.Millis) []fresh.Action {
+		if a.Release.Version == 0 || hold == 0 {
+			f.overhead = max(now-sentAt-hold, 0)
+		}
+		return f.node.Answered(now, fresh.Answer{Version: version, SentAt: sentAt, Era: a.Position.Era, StoreMillis: a.StoreMillis})
+	})
+}
+
+// callFailed records a failed call to the store.
+func (f *freshness) callFailed() {
+	f.update(func(now clock.Millis) []fresh.Action {
+		f.substitute.Failed(now)
+		return nil
+	})
+}
+
+// tick runs the timers. size is the number of live nodes.
+func (f *freshness) tick(size int) {
+	f.update(func(now clock.Millis) []fresh.Action {
+		out := f.node.Tick(now)
+		if f.substitute.Tick(now, f.node.BestAge(now), size) {
+			f.substitutions.Inc()
+			select {
+			case f.due <- struct{}{}:
+			default: // already signalled
+			}
+		}
+		f.logChange(now)
+		return out
+	})
+}
+
+// update passes an event to the state machine, publishes its result and sends its messages.
+func (f *freshness) update(do func(now clock.Millis) []fresh.Action) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := do(f.clock.Now())
+	f.publish()
+	for _, a := range out {
+		f.send(a.To, a.Address, wire.Control{Fresh: &a.Message})
+	}
+}
+
+// publish makes the time until which requests are admitted known to Check.
+func (f *freshness) publish() {
+	f.validUntil.Store(math.Float64bits(float64(f.node.ValidUntil())))
+}
+
+// logChange logs when the proof has run out and when there is one again. The caller holds
+// mu.
+func (f *freshness) logChange(now clock.Millis) {
+	proven := now < f.node.ValidUntil()
+	switch {
+	case f.proven && !proven:
+		f.lost = true
+		f.log.Record(logs.Decision{At: f.wall.Now(), Kind: logs.Release, Version: f.held, Reason: reasonProofLost})
+	case proven && f.lost:
+		f.lost = false
+		f.log.Record(logs.Decision{At: f.wall.Now(), Kind: logs.Release, Version: f.held, Reason: reasonProofFound})
+	}
+	f.proven = proven
+}
+
+// substitutes reports whether the node calls the store in place of the nodes that should.
+func (f *freshness) substitutes() bool {
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.substitute.Active(f.clock.Now())
+}
+
+// begins returns a channel that signals when substitutes becomes true; nil if revocation is
+// not strict.
+func (f *freshness) begins() <-chan struct{} {
+	if f == nil {
+		return nil
+	}
+	return f.due
+}
+
+// adapt shortens the hold of a leader's wait so that the proof is renewed in time.
+func (f *freshness) adapt(s feed.Step) feed.Step {
+	if f == nil || s.Kind != feed.Wait || s.HoldMillis >= longHoldMillis {
+		return s
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	switch {
+	case f.node.BestAge(now) >= promptAgeMillis || now-f.promptAt >= clockReadMillis:
+		f.promptAt, s.HoldMillis = now, 0
+	case !f.node.StoreTimed():
+		s.HoldMillis = min(s.HoldMillis, untimedHoldMillis)
+	default:
+		s.HoldMillis = max(s.HoldMillis*clock.Millis(1-holdJitter*f.random.Float64())-f.overhead, 0)
+	}
+	return s
+}
+
+// untilDue returns a context for a call that the store holds: a long one ends when the node
+// begins to substitute for others. The caller must call the function that it returns.
+func (f *freshness) untilDue(ctx context.Context, hold clock.Millis) (context.Context, context.CancelFunc) {
+	if f == nil || hold < longHoldMillis {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-f.due:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -93,6 +93,9 @@
 		Revocation fresh.Config
 		UsageCaps  grant.Config
 		Rollouts   canary.Config
+		// proofClock is the clock of the proof that the configuration is the newest, for
+		// tests; nil means the machine's.
+		proofClock clock.Clock
 		Dialect    proxy.Dialect
 		Source     plat.Source
 		Directory  plat.Directory
@@ -158,6 +161,9 @@
 	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
+	if err := n.wireFreshness(&h, random); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
@@ -166,7 +172,7 @@
 		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, region: s.Region, log: n.decisions, logger: n.logger, metrics: n.metrics,
 		startSourceMillis: s.Spread.StartSourceMillis, random: splitRandom(random), self: n.directoryEntry, readRequest: make(chan struct{}, 1),
 	}
-	n.fleet.needSource = w.requestRead
+	n.fleet.needSource, w.freshness = w.requestRead, n.fleet.freshness
 	f := &finder{localTarget: n.localTarget, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
 	return n, n.registerHosted(w, f, h.Endpoint(control{localTarget: n.localTarget, node: n}))
 }
@@ -214,6 +220,18 @@
 	n.tableRandom = splitRandom(random)
 }
 
+// wireFreshness creates the proof that the configuration is the newest, if revocation is
+// strict.
+func (n *Node) wireFreshness(h *Hosted, random *rand.Rand) error {
+	if !h.Revocation.Enabled() {
+		return nil
+	}
+	f := newFreshness(h.Revocation, h.proofClock, n.clock, n.decisions, splitRandom(random))
+	f.send = n.fleet.send
+	n.fleet.freshness, n.ingress.Freshness = f, f
+	return f.register(n.registry)
+}
+
 // directoryEntry returns the entry of this node in the directory.
 func (n *Node) directoryEntry() member.Seed {
 	n.fleet.mu.Lock()
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -68,6 +68,8 @@
 	logger  *log.Logger
 	metrics *metrics
 	random  *rand.Rand
+	// freshness is nil unless revocation is strict.
+	freshness *freshness
 	// self returns the entry of this node in the directory.
 	self func() member.Seed
 	// startSourceMillis is the time after the start from which the floor may come from
@@ -87,6 +89,9 @@
 	announcedAt clock.Millis
 	// refusedAt is the position of the last release that was refused. It belongs to run.
 	refusedAt feed.Position
+	// unusable is set while the source's newest release is one that was refused. It belongs
+	// to run.
+	unusable bool
 	// era is the era of the last answer of the source, for join.
 	era atomic.Uint64
 	// entry is the state of the node's entry in the directory. It belongs to join.
@@ -103,7 +108,7 @@
 	w.follower.RequireRead()
 	w.started = w.clock.Now()
 	for ctx.Err() == nil {
-		step := w.follower.Step(w.role())
+		step := w.freshness.adapt(w.follower.Step(w.role()))
 		switch {
 		case step.Kind == feed.Wait:
 			w.wait(ctx, step)
@@ -115,7 +120,9 @@
 			w.floorFromPeers()
 		}
 		w.awaitRead(ctx)
-		w.follower.RequireRead()
+		if !w.freshness.substitutes() { // else the next call is a wait, whose answer is small
+			w.follower.RequireRead()
+		}
 	}
 	return ctx.Err()
 }
@@ -123,9 +130,9 @@
 // role returns the node's part in following the source.
 func (w *watcher) role() feed.Role {
 	switch {
-	case w.fleet.leadsDomain(1):
+	case w.fleet.leadsDomain(1), w.freshness.substitutes():
 		return feed.Leader
-	case w.fleet.leadsDomain(watchersPerDomain), !w.fleet.hasRelease(), w.substitutes():
+	case w.fleet.leadsDomain(watchersPerDomain), !w.fleet.hasRelease(), w.freshness == nil && w.substitutes():
 		return feed.Watcher
 	}
 	return feed.Reader
@@ -154,6 +161,7 @@
 		select {
 		case <-w.readRequest:
 			return
+		case <-w.freshness.begins():
 		case <-time.After(watchCheckMillis.Duration()):
 		case <-ctx.Done():
 		}
@@ -176,6 +184,7 @@
 	case <-w.readRequest:
 	default:
 	}
+	sentAt := w.freshness.now()
 	a, err := w.source.Newest(readCtx)
 	refused := errors.Is(err, plat.ErrReleaseRefused)
 	if err != nil && !refused {
@@ -188,6 +197,7 @@
 		w.refused(ctx, a, err)
 		return true
 	}
+	w.prove(sentAt, 0, a)
 	w.handleRelease(a.Release)
 	w.fleet.setFloor(a.Release.Version)
 	sleep(ctx, out.DelayMillis.Duration())
@@ -196,9 +206,13 @@
 
 // wait waits for a newer release.
 func (w *watcher) wait(ctx context.Context, step feed.Step) {
-	a, err := w.source.Next(ctx, step.After, step.HoldMillis)
+	sentAt := w.freshness.now()
+	callCtx, release := w.freshness.untilDue(ctx, step.HoldMillis)
+	a, err := w.source.Next(callCtx, step.After, step.HoldMillis)
+	abandoned := callCtx.Err() != nil
+	release()
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, err != nil && abandoned:
 	case errors.Is(err, plat.ErrRevisionUnknown):
 		w.answered(w.follower.RevisionUnknown(a.Position.Era))
 	case errors.Is(err, plat.ErrReleaseRefused):
@@ -209,11 +223,24 @@
 	default:
 		out := w.follower.WaitDone(w.clock.Now(), a)
 		w.answered(out)
+		if !out.Restored { // else the answer may lack releases
+			w.prove(sentAt, step.HoldMillis, a)
+		}
 		w.handleRelease(a.Release)
 		sleep(ctx, out.DelayMillis.Duration())
 	}
 }
 
+// prove records that an answer showed which release is the newest. One that was refused
+// cannot be put in force, and a key may be revoked in it; so nothing is proven until the
+// source has a usable one.
+func (w *watcher) prove(sentAt, hold clock.Millis, a feed.Answer) {
+	w.unusable = w.unusable && a.Release.Version == 0
+	if !w.unusable {
+		w.freshness.answered(sentAt, hold, w.follower.Newest(), a)
+	}
+}
+
 // handleRelease passes a release of the source to the fleet.
 func (w *watcher) handleRelease(r model.Release) {
 	if r.Version == 0 {
@@ -231,6 +258,7 @@
 		w.fleet.releaseRefused(sourceStore, 0, err)
 		w.logger.WithError(err).WithField("Revision", uint64(a.Position.Revision)).Error("release of the source is refused")
 	}
+	w.unusable = true
 	w.follower.RequireRead()
 	sleep(ctx, refusedDelayMillis.Duration())
 }
@@ -238,6 +266,7 @@
 // failed handles a failed call to the source.
 func (w *watcher) failed(ctx context.Context, a feed.Answer) {
 	w.metrics.sourceErrors.Inc()
+	w.freshness.callFailed()
 	out := w.follower.Failed(a.Position.Era)
 	if out.Lost {
 		w.logDecision(reasonSourceLost)
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -114,7 +114,7 @@
 	if c.messages() != 1 {
 		return errControl
 	}
-	if c.Spread != nil && c.Spread.Kind > spread.Busy {
+	if c.Spread != nil && c.Spread.Kind > spread.Busy || c.Fresh != nil && !c.Fresh.Valid() {
 		return errContent
 	}
 	if c.Member == nil {
