--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -47,6 +47,8 @@
 		// newest one. Neither may block.
 		readRelease func(v ident.Version, d ident.Digest)
 		needSource  func()
+		// freshness is nil unless revocation is strict.
+		freshness *freshness
 
 		// caps enforces usage caps; nil without them.
 		caps *caps
@@ -85,6 +87,10 @@
 		f.receiveGrant(from, m.Grant)
 		return
 	}
+	if m.Fresh != nil {
+		f.freshness.receive(from, *m.Fresh)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table == nil {
@@ -115,6 +121,7 @@
 	f.gossip(f.table.Tick(now))
 	f.setNeighbours(now)
 	f.perform(f.releases.Tick(now))
+	f.freshness.tick(f.table.Size())
 	if f.table.Sequence() != f.viewSequence {
 		f.viewStale = true
 	}
@@ -132,6 +139,7 @@
 	if !slices.Equal(neighbours, f.neighbours) {
 		f.neighbours = neighbours
 		f.perform(f.releases.SetNeighbours(now, neighbours))
+		f.freshness.setNeighbours(neighbours)
 	}
 }
 
@@ -297,6 +305,7 @@
 	}
 	f.viewStale, f.viewSequence = false, f.table.Sequence()
 	f.ingress.SetView(f.index.Join(f.table.Records()), f.table.Size())
+	f.freshness.setHeld(f.inForce.Version)
 }
 
 // memberChanged logs a state change of a member. The caller holds mu.
