--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -172,6 +172,9 @@
 	if r.GoalMillis != 0 {
 		f.set(routeKind, name, "GoalMillis", formatMillis(r.GoalMillis))
 	}
+	if r.LargeAnswers {
+		f.set(routeKind, name, "LargeAnswers", strconv.FormatBool(true))
+	}
 }
 
 // setCallers sets the fields of the caller limits, unless all of them are zero.
@@ -276,6 +279,7 @@
 		Idempotent: f[element+"/Idempotent"] == "true", TimeoutMillis: timeout,
 		MaxAttempts: attempts, HedgeAfterMillis: hedge,
 		Host: f[element+"/Host"], Parts: parts, GoalMillis: goal,
+		LargeAnswers: f[element+"/LargeAnswers"] == "true",
 	})
 	return nil
 }
--- a/core/model/elements.go
+++ b/core/model/elements.go
@@ -104,5 +104,6 @@
 		a.Service == b.Service && slices.Equal(a.Parts, b.Parts) &&
 		a.Class == b.Class && a.Idempotent == b.Idempotent &&
 		a.TimeoutMillis == b.TimeoutMillis && a.GoalMillis == b.GoalMillis &&
-		a.MaxAttempts == b.MaxAttempts && a.HedgeAfterMillis == b.HedgeAfterMillis
+		a.MaxAttempts == b.MaxAttempts && a.HedgeAfterMillis == b.HedgeAfterMillis &&
+		a.LargeAnswers == b.LargeAnswers
 }
--- a/core/model/inventory.go
+++ b/core/model/inventory.go
@@ -93,6 +93,8 @@
 		GoalMillis clock.Millis `cbor:",omitempty"`
 		// Anonymous admits requests without an access key although the rules have teams.
 		Anonymous bool `cbor:",omitempty" json:",omitempty"`
+		// LargeAnswers marks a route whose answers fill a link for a noticeable time.
+		LargeAnswers bool `cbor:",omitempty" json:",omitempty"`
 	}
 
 	// CallerLimits bounds the size and the duration of callers' requests. A zero field
--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -43,6 +43,7 @@
 			HedgeAfterMillis: clock.Millis(rapid.SampledFrom([]float64{-1, 0, math.Copysign(0, -1), 2.5}).Draw(t, "hedge")),
 			Host:             rapid.SampledFrom([]string{"", "h"}).Draw(t, "host"),
 			GoalMillis:       clock.Millis(rapid.IntRange(0, 1).Draw(t, "goal")),
+			LargeAnswers:     rapid.Bool().Draw(t, "large"),
 		})
 		if r := &c.Rules.Routes[len(c.Rules.Routes)-1]; rapid.Bool().Draw(t, "split") {
 			r.Parts, r.Service = []Part{{Service: r.Service, Weight: rapid.IntRange(1, 3).Draw(t, "weight")}}, ""
--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -99,7 +99,7 @@
 func backends() Backends {
 	return Backends{
 		Node: func(_ context.Context, s conf.Settings, stdout io.Writer) error {
-			_, err := fmt.Fprintf(stdout, "node %s, memory %d", s.Node, s.Limits.MemoryBytes)
+			_, err := fmt.Fprintf(stdout, "node %s, memory %d, link %d", s.Node, s.Limits.MemoryBytes, s.Limits.LinkBitsPerSecond)
 			return err
 		},
 		Target: func(TargetOptions) StandInTarget { return &fakeTarget{} },
@@ -166,6 +166,8 @@
 		{"node -config " + config, 0, "node a1", ""},
 		{"node -memory-mb 284 -config " + config, 0, "memory 284000000", ""},
 		{"node -memory-mb -1 -config " + config, 2, "", "-memory-mb is negative"},
+		{"node -link-mbps 13.5 -config " + config, 0, "link 13500000", ""},
+		{"node -link-mbps -1 -config " + config, 2, "", "-link-mbps is negative"},
 		{"node", 2, "", "-config is missing"},
 		{"node -config absent.toml", 1, "", "absent.toml"},
 		{"check -config " + config, 0, "no faults", ""},
--- a/io/cmds/node.go
+++ b/io/cmds/node.go
@@ -15,6 +15,8 @@
 const (
 	// bytesPerMegabyte is the unit of -memory-mb.
 	bytesPerMegabyte = 1e6
+	// bitsPerMegabit is the unit of -link-mbps.
+	bitsPerMegabit = 1e6
 	// demoUsage is the help of the demo command.
 	demoUsage = `hickoryrail demo [flags]
 
@@ -40,10 +42,10 @@
 // nodeCommand returns the command that runs a node.
 func nodeCommand(stdout io.Writer, node func(context.Context, conf.Settings, io.Writer) error) *command {
 	var path string
-	var memory float64
+	var memory, link float64
 	return &command{
 		name: "node", synopsis: "run a node",
-		usage: `hickoryrail node -config FILE [-memory-mb N]
+		usage: `hickoryrail node -config FILE [-memory-mb N] [-link-mbps N]
 
 Runs a node until SIGINT or SIGTERM, then stops it gracefully: requests in
 flight end first. A second SIGINT ends it at once; a second SIGTERM is
@@ -55,6 +57,7 @@
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&path, "config", "", "settings `file` of the node")
 			f.Float64Var(&memory, "memory-mb", 0, "memory of the process in `megabytes`, in place of Limits.MemoryBytes; 0 for that setting")
+			f.Float64Var(&link, "link-mbps", 0, "rate of the server's link in `megabits` per second, in place of Limits.LinkBitsPerSecond; 0 for that setting")
 		},
 		run: func(ctx context.Context, args []string) error {
 			if err := noArguments(args); err != nil {
@@ -65,6 +68,8 @@
 				return usageError{"-config is missing"}
 			case !(memory >= 0):
 				return usageError{"-memory-mb is negative"}
+			case !(link >= 0):
+				return usageError{"-link-mbps is negative"}
 			}
 			s, err := conf.Load(path)
 			if err != nil {
@@ -73,6 +78,9 @@
 			if memory > 0 {
 				s.Limits.MemoryBytes = ident.Bytes(memory * bytesPerMegabyte)
 			}
+			if link > 0 {
+				s.Limits.LinkBitsPerSecond = int64(link * bitsPerMegabit)
+			}
 			stop := reloadOnHangup(ctx, path, s, logs.New(stdout, s.Log.Level))
 			defer stop()
 			return node(ctx, s, stdout)
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -68,6 +68,8 @@
 		HeaderBytes ident.Bytes
 		// MemoryBytes is the memory of the process.
 		MemoryBytes ident.Bytes
+		// LinkBitsPerSecond is the rate of the server's link; 0 if it is unknown.
+		LinkBitsPerSecond int64
 		// QueueLength is the number of requests that wait at the gate.
 		QueueLength int
 		// CallerRequestsPerSecond is 0 for no limit.
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -109,6 +109,8 @@
 		func(s *Settings) *ident.Bytes { return &s.Limits.HeaderBytes }),
 	number("Limits.MemoryBytes", 256<<20, 64<<20, 1<<40, "Memory of the process; if Platform is rows, the bodies that a node holds are bounded by a part of it.",
 		func(s *Settings) *ident.Bytes { return &s.Limits.MemoryBytes }),
+	number("Limits.LinkBitsPerSecond", 0, 0, 1_000_000_000_000, "Rate at which the server's link sends; large answers are admitted and sent within it; 0 means unknown.",
+		func(s *Settings) *int64 { return &s.Limits.LinkBitsPerSecond }),
 	number("Limits.QueueLength", 16, 1, 10_000, "Requests that wait at the gate for a slot.",
 		func(s *Settings) *int { return &s.Limits.QueueLength }),
 	number("Limits.CallerRequestsPerSecond", 5000, 0, 1_000_000, "Requests per second of one caller; 0 sets no limit.",
