core/admit, io/uplink, io/frame: large answers within the rate of the link

Cause: a gate frees its slot when the target has answered, so it admitted more answers than the link of its server could send, and the small answers of the same node waited behind them. Nothing changes without a rate or such a route.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -37,6 +37,8 @@
 	Call struct {
 		ID    ident.RequestID
 		Class model.Class
+		// Route is the name of the request's route.
+		Route ident.RouteName
 		// Rank orders the calls of a ByGoal gate; the lower one goes first.
 		Rank Rank
 		// Goal is the instant by which the call should be answered; 0 if it has no
@@ -105,6 +107,9 @@
 		// OccupiedMillis bounds the time for which an announced slot counts as
 		// occupied.
 		OccupiedMillis clock.Millis
+		// Egress refuses calls whose answers the link cannot send in time; nil bounds
+		// nothing.
+		Egress *Egress
 
 		// running holds the running calls.
 		running map[ident.RequestID]Call
@@ -138,13 +143,27 @@
 		return append(actions, refuse(c.ID, ReasonDraining))
 	case now >= c.Deadline:
 		return append(actions, refuse(c.ID, ReasonExpired))
+	case !g.Egress.admits(now, &c, g.slotWait(now, c), g.RunMillis):
+		return append(actions, refuse(c.ID, ReasonLink))
 	case g.free() > 0:
 		g.start(now, c)
 		return append(actions, Action{Kind: Start, ID: c.ID, Reason: ReasonFree})
 	case c.FailFast && g.queue().expectedWait(now, c) > failFastShare*(c.effectiveGoal()-now):
 		return append(actions, refuse(c.ID, ReasonNoFreeSlot))
 	}
-	return g.queue().push(now, c, actions)
+	g.Egress.queued(&c)
+	actions = g.queue().push(now, c, actions)
+	g.Egress.leftRefused(actions)
+	return actions
+}
+
+// slotWait returns how long an arriving call would wait for a slot. It is 0 without an
+// Egress, which alone needs it.
+func (g *Gate) slotWait(now clock.Millis, c Call) clock.Millis {
+	if g.Egress == nil || g.free() > 0 {
+		return 0
+	}
+	return g.queue().expectedWait(now, c)
 }
 
 // Finish releases the slot of a call that ran for took. An unknown id is ignored.
@@ -155,6 +174,7 @@
 	}
 	delete(g.running, id)
 	g.queue().finished(c, took)
+	g.Egress.finished(id, took)
 	return g.advance(now, g.actionBuffer())
 }
 
@@ -279,6 +299,10 @@
 	}
 	for g.free() > 0 && g.queued() > 0 {
 		c, reason := g.waiting.pop(now)
+		if !g.Egress.mayStart(now, &c, g.RunMillis) {
+			actions = append(actions, refuse(c.ID, ReasonLink))
+			continue // the slot is for the next call
+		}
 		g.start(now, c)
 		actions = append(actions, Action{Kind: Start, ID: c.ID, Reason: reason})
 	}
@@ -286,6 +310,7 @@
 		g.drainedSent = true
 		actions = append(actions, Action{Kind: Drained})
 	}
+	g.Egress.leftRefused(actions)
 	return actions
 }
 
@@ -297,6 +322,7 @@
 	g.running[c.ID] = c
 	g.rate.take()
 	g.queue().started(now, c)
+	g.Egress.started(&c)
 }
 
 // queue returns the queue of the gate's order and creates it at first use.
--- a/core/model/inventory.go
+++ b/core/model/inventory.go
@@ -138,6 +138,17 @@
 	return out
 }
 
+// LargeRoutes returns the names of the routes with large answers.
+func (r *Rules) LargeRoutes() []ident.RouteName {
+	var names []ident.RouteName
+	for i := range r.Routes {
+		if r.Routes[i].LargeAnswers {
+			names = append(names, r.Routes[i].Name)
+		}
+	}
+	return names
+}
+
 // classNames holds the text form of each class.
 var classNames = [...]string{"Check", "Action", "Browse"}
 
--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		c.fail(err)
 	}
+	c.transport.Link.Sent(lengthBytes + headerBytes + len(m.payload))
 	return err
 }
 
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -33,8 +33,10 @@
 	number  uint64
 	suspect bool
 
-	// writing serializes the writes of frames.
-	writing sync.Mutex
+	// writing serializes the writes of frames, and guards bufferSet, which is set once the
+	// send buffer has its size for large answers.
+	writing   sync.Mutex
+	bufferSet bool
 
 	// received holds the calls that were read and not started yet, and leases their memory.
 	// Only serve uses them.
@@ -238,7 +240,7 @@
 	if panics.Try(handle) == nil && len(answer) <= s.transport.BodyBytes {
 		out.kind, out.payload = kindAnswer, answer
 	}
-	_ = s.write(out) // if the connection is lost, the caller retries or voids the call on another one
+	s.answer(ctx, out)
 }
 
 // write sends one frame. After an error the connection is closed.
@@ -249,6 +251,7 @@
 	if err != nil {
 		_ = s.conn.Close()
 	}
+	s.transport.Link.Sent(lengthBytes + headerBytes + len(m.payload))
 	return err
 }
 
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -15,6 +15,7 @@
 	"hickoryrail/core/stop"
 	"hickoryrail/io/mem"
 	"hickoryrail/io/peer"
+	"hickoryrail/io/uplink"
 )
 
 const (
@@ -73,6 +74,8 @@
 		OnEvent func(peer.Event)
 		// Memory bounds the memory of received calls and answers; nil sets no bound.
 		Memory *mem.Budget
+		// Link sends large answers at the rate of the node's link; nil sends them at once.
+		Link *uplink.Link
 		// Registry registers the transport's metrics; it may be nil.
 		Registry prometheus.Registerer
 		// BodyBytes bounds each request, answer and control message; 0 selects the
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -14,6 +14,7 @@
 	"hickoryrail/core/view"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/proxy"
+	"hickoryrail/io/uplink"
 	"hickoryrail/io/wire"
 )
 
@@ -40,9 +41,11 @@
 		transport transport
 		ingress   *proxy.Ingress
 		gateway   *proxy.Gateway
-		log       logs.Sink
-		service   ident.ServiceName
-		metrics   *metrics
+		// link is the link of the node's server; nil if its rate is unknown.
+		link    *uplink.Link
+		log     logs.Sink
+		service ident.ServiceName
+		metrics *metrics
 		// readRelease requests the given release from the source, and needSource the
 		// newest one. Neither may block.
 		readRelease func(v ident.Version, d ident.Digest)
@@ -259,6 +262,9 @@
 	source := nameSource(from)
 	f.metrics.releaseApplied(r.Version, source, f.clock.Now())
 	f.log.Record(logs.Decision{At: f.clock.Now(), Kind: logs.Release, Version: r.Version, Source: source, Reason: reasonInForce})
+	large := r.Configuration.Rules.LargeRoutes()
+	f.gateway.SetLargeRoutes(large)
+	f.link.SetActive(len(large) > 0)
 	for _, s := range r.Configuration.Inventory.Services {
 		if s.Name == f.service && !s.TargetSlots {
 			f.gateway.Resize(s.Slots, s.Connections)
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -30,6 +30,7 @@
 	"hickoryrail/io/plat"
 	"hickoryrail/io/proxy"
 	"hickoryrail/io/stats"
+	"hickoryrail/io/uplink"
 )
 
 const (
@@ -156,6 +157,10 @@
 	if err := n.memory.Register(n.registry); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
+	n.link = uplink.New(s.Limits.LinkBitsPerSecond, n.clock)
+	if err := n.link.Register(n.registry); err != nil {
+		return nil, eris.Wrap(err, "node: metrics")
+	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
@@ -184,9 +189,12 @@
 	n.ingress.Memory = n.memory
 	n.gateway.KeptBytes = hostedKeptBytes
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
+	if n.link != nil {
+		n.gateway.Sender = n.link
+	}
 	n.transport = &frame.Transport{
 		Self: h.Settings.Node, Listen: h.Settings.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
-		Memory:    n.memory,
+		Memory: n.memory, Link: n.link,
 		OnControl: func(from ident.NodeID, body []byte) { n.fleet.receive(from, body) },
 		OnCall:    n.onCall,
 		OnEvent:   n.stallMonitor.handleEvent,
@@ -201,7 +209,7 @@
 	config.SourceTimeoutMillis, config.FetchTimeoutMillis = hostedSourceTimeoutMillis, hostedFetchTimeoutMillis
 	config.LagMillis = hostedLagMillis
 	n.fleet = &fleet{
-		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway,
+		clock: n.clock, transport: n.transport, ingress: n.ingress, gateway: n.gateway, link: n.link,
 		log: n.decisions, service: n.settings.Service, metrics: n.metrics,
 		releases: spread.New(config, splitRandom(random)),
 		// The watcher passes on whole releases; none is requested by version and digest.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -33,6 +33,7 @@
 	"hickoryrail/io/plat"
 	"hickoryrail/io/proxy"
 	"hickoryrail/io/stats"
+	"hickoryrail/io/uplink"
 	"hickoryrail/io/wire"
 )
 
@@ -77,6 +78,8 @@
 	clock     clock.Clock
 	// memory bounds the bodies that a hosted node holds.
 	memory *mem.Budget
+	// link is the link of a hosted node's server; nil if its rate is unknown.
+	link *uplink.Link
 	// tableRandom is the random generator of the member table, which is created once
 	// the peer address is known.
 	tableRandom *rand.Rand
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -35,7 +35,7 @@
 	if r.CallerID != "" {
 		g.byCallerID[r.CallerID] = c
 	}
-	call := admit.Call{ID: r.ID, Class: r.Class, Rank: r.Rank, Deadline: deadline, FailFast: r.FailFast}
+	call := admit.Call{ID: r.ID, Class: r.Class, Route: r.Route, Rank: r.Rank, Deadline: deadline, FailFast: r.FailFast}
 	if r.HasGoal {
 		call.Goal = now + r.GoalMillis
 	}
@@ -86,6 +86,9 @@
 func (g *Gateway) finish(c *gateCall, resp *wire.Response, now, took clock.Millis, keep bool) []byte {
 	id := c.request.ID
 	g.mu.Lock()
+	if resp.Verdict == result.Ran && g.gate.Egress != nil {
+		g.gate.Egress.Answered(id, ident.Bytes(len(resp.Body)))
+	}
 	g.apply(now, g.gate.Finish(now, id, took))
 	g.rescheduleTick()
 	resp.Load = g.gate.Load()
@@ -135,6 +138,9 @@
 			if a.Reason != admit.ReasonNoFreeSlot {
 				g.metrics.refused[c.request.Class].Inc()
 			}
+			if a.Reason == admit.ReasonLink {
+				g.metrics.link.Inc()
+			}
 		} else {
 			g.metrics.started[c.request.Class].Inc()
 		}
--- a/io/proxy/gatetarget.go
+++ b/io/proxy/gatetarget.go
@@ -50,6 +50,15 @@
 	g.apply(now, g.gate.Resize(now, slots, connections))
 }
 
+// SetLargeRoutes sets the routes whose answers are admitted by the rate of the link.
+func (g *Gateway) SetLargeRoutes(names []ident.RouteName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate.Egress != nil {
+		g.gate.Egress.SetRoutes(names)
+	}
+}
+
 // RemoveTarget takes the target out of service: waiting and new calls are refused as
 // not run, running ones continue.
 func (g *Gateway) RemoveTarget() {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -83,6 +83,8 @@
 		Dialect Dialect
 		// Order is the order of the gate's queue.
 		Order admit.Order
+		// Sender sends the answers of this node; nil means that its link bounds nothing.
+		Sender admit.Sender
 		// QueueLength, AgeingMillis, RunMillis and OccupiedMillis configure the
 		// gate; zero means the default.
 		QueueLength    int
@@ -166,11 +168,14 @@
 		QueueLength: g.QueueLength, AgeingMillis: g.AgeingMillis, ActionEvery: ActionEvery,
 		RunMillis: g.RunMillis, OccupiedMillis: g.OccupiedMillis,
 	}
+	if g.Sender != nil {
+		g.gate.Egress = &admit.Egress{Sender: g.Sender}
+	}
 	g.dedup = once.Dedup{Gate: g.Incarnation, KeepMillis: g.KeepMillis, MaxRecords: g.MaxRecords, MaxBytes: g.KeptBytes}
 	g.reschedule = make(chan struct{}, 1)
 	g.calls = make(map[ident.RequestID]*gateCall)
 	g.byCallerID = make(map[ident.RequestID]*gateCall)
-	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond)
+	return g.metrics.register(g.Registry, g.Load, g.limitPerSecond, g.answerBytes)
 }
 
 // Running returns the request at the local target to which its caller gave id; false if
@@ -227,6 +232,16 @@
 	return g.gate.Load()
 }
 
+// answerBytes returns the bytes of large answers that wait or are expected.
+func (g *Gateway) answerBytes() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate.Egress == nil {
+		return 0
+	}
+	return float64(g.gate.Egress.Expected())
+}
+
 // OnCall answers one call stream of another node. Input that does not decode is
 // answered with NotRun and has no effect.
 func (g *Gateway) OnCall(ctx context.Context, _ ident.NodeID, body []byte) []byte {
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -30,12 +30,13 @@
 		voids    prometheus.Counter
 		left     leftCounters
 		leaving  prometheus.Counter
+		link     prometheus.Counter
 		run      prometheus.Histogram
 	}
 )
 
 // register creates the collectors and registers them with r.
-func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load, limit func() float64) error {
+func (m *gatewayMetrics) register(r prometheus.Registerer, load func() admit.Load, limit, answerBytes func() float64) error {
 	decisions := stats.Counters("gateway_decisions_total", "Decisions of the admission gate.", "decision", "class")
 	for i := range classCount {
 		class := model.Class(i).String()
@@ -50,9 +51,11 @@
 	left, leftCollector := newLeftCounters("gateway_caller_left_total")
 	m.left = left
 	m.leaving = stats.Counter("gateway_leaving_notices_total", "Targets that stated in an answer that they leave.")
+	m.link = stats.Counter("gateway_link_refused_total", "Calls that were refused because the link could not send their answers in time.")
 	m.run = stats.Histogram("gateway_run_seconds", "Time that a started call spent at the target.", delayBuckets)
-	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.leaving, m.run,
+	return stats.Register(r, decisions, verdicts, m.voids, leftCollector, m.leaving, m.link, m.run,
 		stats.GaugeFunc("gateway_free_slots", "Free slots of the target.", func() float64 { return float64(load().Free) }),
 		stats.GaugeFunc("gateway_queued_calls", "Calls that wait for a slot.", func() float64 { return float64(load().Queued) }),
-		stats.GaugeFunc("gateway_limit_per_second", "Requests per second that the target stated as its limit; -1 without one.", limit))
+		stats.GaugeFunc("gateway_limit_per_second", "Requests per second that the target stated as its limit; -1 without one.", limit),
+		stats.GaugeFunc("gateway_answer_bytes", "Bytes of large answers that wait to be sent or that calls at the gate are expected to cause.", answerBytes))
 }
