io/frame: answers in pieces, between which other frames are sent

Cause: a large answer held up the small answers of its connection until it was sent whole, at 13 Mbit/s up to 330 ms. Change: a dialing node says in a second hello frame, which the former build ignores, that it takes answers in pieces; a paced answer to it is sent as frames of 16 KB. Peers of the former build get whole frames. An answer whose caller has left is dropped, also between two pieces.

--- a/io/frame/codec.go
+++ b/io/frame/codec.go
@@ -31,8 +31,17 @@
 	kindEcho
 	// kindEchoed is the reply to kindEcho.
 	kindEchoed
+	// kindLarge announces an answer in pieces; its payload is the size of the answer. It is
+	// sent only to a peer that has sent acceptsPieces.
+	kindLarge
+	// kindPiece carries the next piece of an announced answer.
+	kindPiece
 )
 
+// acceptsPieces is the payload of a second kindHello frame, by which the dialing node accepts
+// answers in pieces. The former build ignores that frame.
+const acceptsPieces = "pieces"
+
 const (
 	// lengthBytes is the size of the length prefix of a frame.
 	lengthBytes = 4
@@ -111,7 +120,7 @@
 		kind: kind(raw[lengthBytes]), id: callID(binary.BigEndian.Uint32(raw[lengthBytes+1:])),
 		length: int(binary.BigEndian.Uint32(raw[:lengthBytes])) - headerBytes,
 	}
-	if h.length < 0 || h.length > limit || h.kind < kindHello || h.kind > kindEchoed {
+	if h.length < 0 || h.length > limit || h.kind < kindHello || h.kind > kindPiece {
 		return header{}, fmt.Errorf("%w: kind %d with %d bytes", errFrame, h.kind, h.length)
 	}
 	return h, nil
--- a/io/frame/connection.go
+++ b/io/frame/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryrail/core/clock"
@@ -28,11 +29,16 @@
 		// written. Unlike a mutex, it can be waited for until a ctx ends.
 		writing chan struct{}
 
+		// piecesAccepted is set once the peer was told that it may answer in pieces.
+		piecesAccepted atomic.Bool
+
 		// mu guards what follows.
 		mu     sync.Mutex
 		nextID callID
 		// waiting holds the callers of the unanswered calls.
 		waiting map[callID]waiter
+		// arriving holds the answers that arrive in pieces; their calls are in waiting.
+		arriving map[callID]*arrival
 		// failure is the reason for the end of the connection; it is set once.
 		failure error
 		// retired is set once the connection gets no more calls; it then ends with its
@@ -126,6 +132,7 @@
 func (c *connection) forget(id callID) {
 	c.mu.Lock()
 	delete(c.waiting, id)
+	delete(c.arriving, id)
 	done := c.retired && len(c.waiting) == 0
 	c.mu.Unlock()
 	if done {
@@ -154,7 +161,7 @@
 	}
 	c.failure = err
 	waiting := c.waiting
-	c.waiting = nil
+	c.waiting, c.arriving = nil, nil
 	c.mu.Unlock()
 	_ = c.conn.Close()
 	for _, w := range waiting {
@@ -197,6 +204,12 @@
 		}
 		return err
 	}
+	switch h.kind {
+	case kindLarge:
+		return c.receiveLarge(b, h)
+	case kindPiece:
+		return c.receivePiece(b, h)
+	}
 	c.mu.Lock()
 	w, waits := c.waiting[h.id]
 	c.mu.Unlock()
@@ -237,6 +250,7 @@
 	c.mu.Lock()
 	w, waits := c.waiting[m.id]
 	delete(c.waiting, m.id)
+	delete(c.arriving, m.id)
 	c.mu.Unlock()
 	if waits {
 		w.answer <- m
@@ -254,6 +268,9 @@
 		c.transport.emit(peer.Sent, c, 0)
 		defer c.transport.emit(peer.Ended, c, 0)
 	}
+	if k == kindCall {
+		c.acceptPieces(ctx)
+	}
 	err = c.write(ctx, message{kind: k, id: id, payload: body})
 	switch {
 	case errors.Is(err, errWithdrawn):
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -37,6 +38,8 @@
 	// send buffer has its size for large answers.
 	writing   sync.Mutex
 	bufferSet bool
+	// takesPieces is set once the peer has said that it accepts answers in pieces.
+	takesPieces atomic.Bool
 
 	// received holds the calls that were read and not started yet, and leases their memory.
 	// Only serve uses them.
@@ -165,6 +168,8 @@
 // handle processes one received frame.
 func (s *acceptedConnection) handle(m message) {
 	switch m.kind {
+	case kindHello:
+		s.takesPieces.Store(string(m.payload) == acceptsPieces)
 	case kindControl:
 		s.transport.deliverControl(s.node, m.payload)
 	case kindEcho:
--- a/io/uplink/link.go
+++ b/io/uplink/link.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// PieceBytes is the size of the pieces in which a large answer is sent, and the size up
-	// to which an answer is small. A link of 13 Mbit/s sends a piece in 10 ms.
+	// PieceBytes is the size of the pieces in which a large answer is sent. A link of 13
+	// Mbit/s sends a piece in 10 ms.
 	PieceBytes = 16 << 10
+	// smallBytes is the size up to which an answer does not wait.
+	smallBytes = 32 << 10
 	// bitsPerByte and millisPerSecond convert the rate of a link.
 	bitsPerByte     = 8
 	millisPerSecond = 1000
@@ -130,7 +132,7 @@
 
 // Begin returns the sending of an answer of n bytes, or nil for one that is not paced.
 func (l *Link) Begin(n int) *Sending {
-	if l == nil || n <= PieceBytes {
+	if l == nil || n <= smallBytes {
 		return nil
 	}
 	l.mu.Lock()
