io/httpd: large responses to callers within the rate of the link

Cause: a node also sends the answers of other targets on to callers over its own link, at once, and a stop could close a connection while a response was still being written on it. Change: large responses to other servers are written in pieces that take turns with the answers to other nodes; those to the target beside the node are not. closeIfIdle leaves a connection alone while a response is written.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -50,6 +50,8 @@
 		mu sync.Mutex
 		// unanswered is the number of requests that were read but not yet answered.
 		unanswered int
+		// writing is set while a response is written, which takes long for a large one.
+		writing bool
 		// reading is set from the first byte of a request until its last.
 		reading bool
 		// closing is set by the response that closes the connection, by an idle
@@ -266,7 +268,7 @@
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 || c.reading || c.closing || c.probe.Peek() == sock.Data {
+	if c.unanswered > 0 || c.writing || c.reading || c.closing || c.probe.Peek() == sock.Data {
 		return
 	}
 	c.closing = true
@@ -276,7 +278,7 @@
 // writeResponses writes the responses in order. After the one that closes the
 // connection, it discards the responses to later requests.
 func (c *connection) writeResponses(cancel context.CancelFunc) {
-	w := bufio.NewWriterSize(c.conn, writeBufferBytes)
+	w := bufio.NewWriterSize(c.writer(), writeBufferBytes)
 	closed := false
 	for ex := range c.pending {
 		if ex.interim != nil {
@@ -287,7 +289,11 @@
 		<-ex.done
 		if !closed {
 			closes := c.complete(ex)
-			if err := c.writeResponse(w, ex, closes); err != nil || closes {
+			err := c.writeResponse(w, ex, closes)
+			c.mu.Lock()
+			c.writing = false
+			c.mu.Unlock()
+			if err != nil || closes {
 				closed = true
 				cancel()
 				_ = c.conn.Close()
@@ -304,6 +310,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered--
+	c.writing = true
 	requested := ex.closeAfter || ex.rc.Response.ConnectionClose() || ex.rc.Request.ConnectionClose() || c.server.closing.Load()
 	if !requested || c.unanswered > 0 || c.reading {
 		return false
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -20,6 +20,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/option"
 	"hickoryrail/io/mem"
+	"hickoryrail/io/uplink"
 )
 
 const (
@@ -57,6 +58,8 @@
 		// Memory bounds the memory for the bodies of requests and answers; nil sets no
 		// bound. The context of a handler has its lease.
 		Memory *mem.Budget
+		// Link sends large responses at the rate of the node's link; nil sends them at once.
+		Link *uplink.Link
 		// RoomMillis returns how long a request whose header was read may wait for the memory
 		// of its body; nil means BodyMillis.
 		RoomMillis func(rc *fasthttp.RequestCtx) clock.Millis
@@ -66,6 +69,8 @@
 
 		// closing makes each connection close once all its requests are answered.
 		closing atomic.Bool
+		// numbers counts the connections that write over Link.
+		numbers atomic.Uint64
 		// ctx is the parent of the contexts of all requests; cancel ends it. Serve sets both.
 		ctx    context.Context
 		cancel context.CancelCauseFunc
--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/io/uplink"
 )
 
 // testTimeout bounds each wait of the tests.
@@ -28,6 +29,12 @@
 
 // start starts a server with the given handler and closes it at the end of the test.
 func start(t *testing.T, handler func(ctx context.Context, rc *fasthttp.RequestCtx)) *fixture {
+	t.Helper()
+	return startLinked(t, nil, handler)
+}
+
+// startLinked is start for a server with a link.
+func startLinked(t *testing.T, link *uplink.Link, handler func(ctx context.Context, rc *fasthttp.RequestCtx)) *fixture {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,6 +42,7 @@
 	}
 	f := &fixture{address: l.Addr().String(), Server: &Server{
 		Handler:   handler,
+		Link:      link,
 		Malformed: func(rc *fasthttp.RequestCtx, _ error) { rc.SetStatusCode(http.StatusBadRequest) },
 		Bounds: func() Bounds {
 			return Bounds{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderMillis: 2 * clock.Second, BodyMillis: 2 * clock.Second, IdleMillis: clock.Second}
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -186,7 +186,7 @@
 	n.ingress.FailFast = &route.FailFastPolicy{}
 	n.ingress.LingerMillis = hostedLingerMillis
 	n.ingress.Dialect, n.ingress.Service = h.Dialect, h.Settings.Service
-	n.ingress.Memory = n.memory
+	n.ingress.Memory, n.ingress.Link = n.memory, n.link
 	n.gateway.KeptBytes = hostedKeptBytes
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	if n.link != nil {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -27,6 +27,7 @@
 	"hickoryrail/io/logs"
 	"hickoryrail/io/mem"
 	"hickoryrail/io/plat"
+	"hickoryrail/io/uplink"
 )
 
 const (
@@ -94,6 +95,8 @@
 		// Memory bounds the memory for the bodies of requests and answers; nil sets no
 		// bound.
 		Memory *mem.Budget
+		// Link sends large responses at the rate of the node's link; nil sends them at once.
+		Link *uplink.Link
 		// FailFast decides which attempts are refused at once unless a slot is free
 		// now or soon; with nil, all attempts may wait at their gate.
 		FailFast *route.FailFastPolicy
@@ -176,7 +179,7 @@
 	in.listener = lingerListener{listener}
 	in.openedAt = in.Clock.Now()
 	in.Dialect = in.Dialect.withDefaults()
-	in.server = &httpd.Server{Handler: in.handle, Malformed: in.replyMalformed, Bounds: in.bounds, Memory: in.Memory, RoomMillis: in.roomMillis}
+	in.server = &httpd.Server{Handler: in.handle, Malformed: in.replyMalformed, Bounds: in.bounds, Memory: in.Memory, Link: in.Link, RoomMillis: in.roomMillis}
 	return nil
 }
 
