core/admit, io/proxy: late downloads only while the link is idle

Cause: a caller that tries again may come after its goal, and would have been refused for the link even while that was idle. Change: such a call is admitted while the link would be idle without its answer. Result: go test ./core/admit ./io/proxy -run 'Download|Link|Late' passes.

--- a/core/admit/egress.go
+++ b/core/admit/egress.go
@@ -110,7 +110,8 @@
 }
 
 // sendsBy reports whether the answer of a call is expected to be sent by an instant, after
-// those of the running calls and, if queued is set, of the waiting ones.
+// those of the running calls and, if queued is set, of the waiting ones. A call that would
+// be late in any case is admitted while the link would be idle without it.
 func (e *Egress) sendsBy(by, now clock.Millis, c *Call, wait, run clock.Millis, queued bool) bool {
 	waiting, rate := e.Sender.Backlog()
 	if rate <= 0 {
@@ -122,7 +123,8 @@
 	}
 	before := clock.Millis((float64(waiting) + e.ahead(queued)) / rate)
 	own := clock.Millis(sends * r.size() / rate)
-	if now+max(wait+run, before)+own <= by {
+	end := now + max(wait+run, before) + own
+	if end <= by || before <= wait+run && before+own <= run && end <= c.Deadline {
 		return true
 	}
 	e.refused++
--- a/core/admit/egress_test.go
+++ b/core/admit/egress_test.go
@@ -304,3 +304,58 @@
 	is.Equal(former.String(), other.String())
 	is.Equal(other.gate.Egress.Refused(), uint64(0))
 }
+
+// TestLateDownloads guards against a link that is idle although calls ask for it whose goals
+// have passed, and against such calls that delay the others.
+func TestLateDownloads(t *testing.T) {
+	is := is.New(t)
+	s := newEgressSim(1, true, 1)
+	s.now = 10 * clock.Second
+	late := func(id string) Kind {
+		actions := s.gate.Arrive(s.now, Call{ID: ident.RequestID(id), Route: simRoute, Goal: s.now - 1, Deadline: s.now + 4*clock.Second})
+		is.Equal(len(actions), 1)
+		if actions[0].Kind == Refuse {
+			is.Equal(actions[0].Reason, ReasonLink)
+		}
+		return actions[0].Kind
+	}
+	s.gate.Egress.routes[simRoute].run = 230
+	is.Equal(late("idle"), Start)
+	s.gate.Finish(s.now, "idle", 230)
+	s.pacer.Begin(1e6) // what the link sends in 0.6 s
+	is.Equal(late("busy"), Refuse)
+}
+
+// TestWaitingDownloadIsRefused guards against a call that waits for a slot and is started
+// although the link can no longer send its answer in time, against a slot that stays idle
+// for it, and against calls that the gate has forgotten but that still count.
+func TestWaitingDownloadIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newEgressSim(1, true, 1)
+	s.gate.Slots = 1
+	e := s.gate.Egress
+	inner := func(id ident.RequestID) Call {
+		return Call{ID: id, Rank: LastRank, Goal: 5 * clock.Second, Deadline: 9 * clock.Second}
+	}
+	download := Call{ID: "download", Route: simRoute, Rank: NewRank(1), Goal: simGoal, Deadline: 6 * clock.Second}
+	is.Equal(s.gate.Arrive(0, inner("first"))[0].Kind, Start)
+	is.Equal(len(s.gate.Arrive(0, download)), 0)
+	is.Equal(len(s.gate.Arrive(0, inner("second"))), 0)
+	is.Equal(e.Expected(), ident.Bytes(initialAnswerBytes))
+	s.pacer.Begin(10e6) // more than the link sends in five seconds
+	is.Equal(s.gate.Finish(100, "first", 100), []Action{
+		{Kind: Refuse, ID: "download", Reason: ReasonLink}, {Kind: Start, ID: "second", Reason: ReasonQueued},
+	})
+	is.Equal(len(e.calls), 0)
+	is.Equal(*e.routes[simRoute], largeRoute{})
+	s.pacer = &Pacer{BytesPerMilli: simLinkRate}
+	is.Equal(len(s.gate.Arrive(100, download)), 0)
+	s.gate.Cancel(200, "download")
+	is.Equal(*e.routes[simRoute], largeRoute{})
+	is.Equal(len(s.gate.Arrive(200, download)), 0)
+	is.Equal(s.gate.Finish(300, "second", 100)[0].Kind, Start)
+	is.Equal(e.routes[simRoute].running, 1)
+	e.Answered("download", 100e3)
+	s.gate.Finish(400, "download", 100)
+	is.Equal(*e.routes[simRoute], largeRoute{bytes: 100e3, run: 100})
+}
