--- a/core/model/diff.go
+++ b/core/model/diff.go
@@ -178,6 +178,9 @@
 	if r.Anonymous {
 		f.set(routeKind, name, "Anonymous", strconv.FormatBool(true))
 	}
+	if r.LargeAnswers {
+		f.set(routeKind, name, "LargeAnswers", strconv.FormatBool(true))
+	}
 }
 
 // setCallers sets the fields of the caller limits, unless all of them are zero.
@@ -287,7 +290,8 @@
 		Idempotent: f[element+"/Idempotent"] == "true", TimeoutMillis: timeout,
 		MaxAttempts: attempts, HedgeAfterMillis: hedge,
 		Host: f[element+"/Host"], Parts: parts, GoalMillis: goal,
-		Anonymous: f[element+"/Anonymous"] == "true",
+		Anonymous:    f[element+"/Anonymous"] == "true",
+		LargeAnswers: f[element+"/LargeAnswers"] == "true",
 	})
 	return nil
 }
--- a/core/model/elements.go
+++ b/core/model/elements.go
@@ -111,5 +111,5 @@
 		a.Class == b.Class && a.Idempotent == b.Idempotent &&
 		a.TimeoutMillis == b.TimeoutMillis && a.GoalMillis == b.GoalMillis &&
 		a.MaxAttempts == b.MaxAttempts && a.HedgeAfterMillis == b.HedgeAfterMillis &&
-		a.Anonymous == b.Anonymous
+		a.Anonymous == b.Anonymous && a.LargeAnswers == b.LargeAnswers
 }
--- a/core/model/inventory.go
+++ b/core/model/inventory.go
@@ -93,6 +93,8 @@
 		GoalMillis clock.Millis `cbor:",omitempty"`
 		// Anonymous admits requests without an access key although the rules have teams.
 		Anonymous bool `cbor:",omitempty" json:",omitempty"`
+		// LargeAnswers marks a route whose answers fill a link for a noticeable time.
+		LargeAnswers bool `cbor:",omitempty" json:",omitempty"`
 	}
 
 	// CallerLimits bounds the size and the duration of callers' requests. A zero field
@@ -136,6 +138,17 @@
 	return out
 }
 
+// LargeRoutes returns the names of the routes with large answers.
+func (r *Rules) LargeRoutes() []ident.RouteName {
+	var names []ident.RouteName
+	for i := range r.Routes {
+		if r.Routes[i].LargeAnswers {
+			names = append(names, r.Routes[i].Name)
+		}
+	}
+	return names
+}
+
 // classNames holds the text form of each class.
 var classNames = [...]string{"Check", "Action", "Browse"}
 
--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -33,8 +34,12 @@
 	number  uint64
 	suspect bool
 
-	// writing serializes the writes of frames.
-	writing sync.Mutex
+	// writing serializes the writes of frames, and guards bufferSet, which is set once the
+	// send buffer has its size for large answers.
+	writing   sync.Mutex
+	bufferSet bool
+	// takesPieces is set once the peer has said that it accepts answers in pieces.
+	takesPieces atomic.Bool
 
 	// received holds the calls that were read and not started yet, and leases their memory.
 	// Only serve uses them.
@@ -163,6 +168,8 @@
 // handle processes one received frame.
 func (s *acceptedConnection) handle(m message) {
 	switch m.kind {
+	case kindHello:
+		s.takesPieces.Store(string(m.payload) == acceptsPieces)
 	case kindControl:
 		s.transport.deliverControl(s.node, m.payload)
 	case kindEcho:
@@ -238,7 +245,7 @@
 	if panics.Try(handle) == nil && len(answer) <= s.transport.BodyBytes {
 		out.kind, out.payload = kindAnswer, answer
 	}
-	_ = s.write(out) // if the connection is lost, the caller retries or voids the call on another one
+	s.answer(ctx, out)
 }
 
 // write sends one frame. After an error the connection is closed.
@@ -249,6 +256,7 @@
 	if err != nil {
 		_ = s.conn.Close()
 	}
+	s.transport.Link.Sent(lengthBytes + headerBytes + len(m.payload))
 	return err
 }
 
--- a/io/proxy/return.go
+++ b/io/proxy/return.go
@@ -11,7 +11,7 @@
 // find some.
 var noRoomReasons = map[string]bool{
 	admit.ReasonFull: true, admit.ReasonDisplaced: true, admit.ReasonWait: true, admit.ReasonGoal: true,
-	admit.ReasonNoFreeSlot: true, admit.ReasonLimit: true, admit.ReasonTeamShare: true, route.ReasonExhausted: true,
+	admit.ReasonNoFreeSlot: true, admit.ReasonLimit: true, admit.ReasonLink: true, admit.ReasonTeamShare: true, route.ReasonExhausted: true,
 }
 
 // nameReturn sets the time after which the caller of a call that was refused for lack of room
