core/canary, core/trial, io, platform: rollouts of a new version by steps

Cause: the operators order a new version of a service and expect that a faulty one is rolled back after few bad answers and a good one completed by its deadline.

--- /dev/null
+++ b/core/canary/decider.go
@@ -0,0 +1,256 @@
+package canary
+
+import (
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+const (
+	// beatMillis is the time between two announcements of a running rollout.
+	beatMillis = 500 * clock.Millis(1)
+	// finalMillis is how long the outcome is announced.
+	finalMillis = 3 * clock.Second
+	// minTrialMillis is the least time in which a decider collects evidence before it
+	// increases the share, also after it has taken over.
+	minTrialMillis = 1500 * clock.Millis(1)
+	// inForceMillis is the time without targets of the old version after which a rollout
+	// has nothing left to do.
+	inForceMillis = 2 * clock.Second
+	// storeRetryMillis is the delay after a failed call to the store, and resignMillis the
+	// time of failed calls after which another node takes over: the store may refuse just
+	// this one.
+	storeRetryMillis = 300 * clock.Millis(1)
+	resignMillis     = 1200 * clock.Millis(1)
+	// maxPauseMillis is the time between two ticks from which on a decider was paused and
+	// gives up: another node may decide, and its evidence is old.
+	maxPauseMillis = 1 * clock.Second
+	// minExpected is the number of requests that the new version should have got from which
+	// on it must have given a good answer.
+	minExpected = 3
+)
+
+const (
+	noCall call = iota
+	reading
+	writing
+)
+
+type (
+	// call is the kind of the call to the store that has no answer yet.
+	call uint8
+
+	// decider decides on one rollout. It first reads the status row and writes it anew, so
+	// that the writes of an earlier decider fail on their condition. It writes an outcome
+	// only on condition that the row is still its own.
+	decider struct {
+		config          Config
+		order           Order
+		start, deadline clock.Millis
+
+		call    call
+		retryAt clock.Millis
+		// failingSince is the time of the first of the failed calls since the last answer;
+		// 0 if the last call was answered.
+		failingSince clock.Millis
+		// row is the status row as last read or written, and pending the one being written.
+		row, pending Status
+		// claimed is set while the row is known to be this decider's, since claimedAt.
+		claimed   bool
+		claimedAt clock.Millis
+		// verifying is set after a write of Running until the row is read.
+		verifying bool
+		// confirm requests a read of the row before the share grows, which shows that the
+		// store can be written and that no other node has taken over.
+		confirm confirmation
+		// maybeOwn is set while a write has no known outcome, so that a row with a later
+		// revision may be this node's own.
+		maybeOwn bool
+		// uncertain is set while a write of Completed has no known outcome.
+		uncertain bool
+
+		judge *judge
+		// old and new count the requests to each version since the decider began.
+		old, new float64
+		// drained holds the targets of the old version without calls in stepAll.
+		drained map[ident.TargetID]bool
+		// aloneSince is since when there are no targets of the old version; 0 if there are.
+		aloneSince clock.Millis
+
+		step   int
+		stepAt clock.Millis
+		scale  float64
+		share  float64
+		// outcome is what was decided; Pending before that.
+		outcome Phase
+		reason  string
+		// done is set once the outcome is in the store.
+		done   bool
+		doneAt clock.Millis
+		// resigned is set once another node has to decide, or does.
+		resigned bool
+		// changed requests an announcement.
+		changed bool
+		notes   []string
+	}
+
+	// confirmation is the state of the read before the share grows.
+	confirmation uint8
+
+	// targets are the targets of a service that can get requests.
+	targets struct {
+		old []ident.TargetID
+		new int
+	}
+)
+
+const (
+	confirmNone confirmation = iota
+	confirmDue
+	confirmed
+)
+
+// newDecider returns a decider that reads the status row first.
+func newDecider(now clock.Millis, c Config, r *rollout) *decider {
+	return &decider{
+		config: c, order: r.order, start: r.startedAt, deadline: r.deadline, judge: newJudge(now),
+		drained: make(map[ident.TargetID]bool), stepAt: now, retryAt: now,
+	}
+}
+
+// end returns the time at which the outcome is to be written.
+func (d *decider) end() clock.Millis {
+	return d.deadline - margin(max(d.deadline-d.start, 0))
+}
+
+// last returns the time until which stepAll may go on for the requests of old targets.
+func (d *decider) last() clock.Millis {
+	return d.deadline - margin(max(d.deadline-d.start, 0))/2
+}
+
+// tick decides what follows from the time and the evidence. The call to the store that it
+// returns is the only one until it is answered.
+func (d *decider) tick(now clock.Millis, t targets) []Action {
+	if len(t.old) > 0 {
+		d.aloneSince = 0
+	} else if d.aloneSince == 0 {
+		d.aloneSince = now
+	}
+	if d.claimed && d.outcome == Pending {
+		d.decide(now, t)
+	}
+	if d.outcome == Completed && !d.uncertain && now > d.deadline && !d.done {
+		d.conclude(RolledBack, reasonDeadline) // nobody can have seen Completed
+	}
+	if d.failingSince > 0 && now-d.failingSince >= resignMillis && !d.uncertain {
+		d.resigned = true
+		return nil
+	}
+	return d.nextCall(now)
+}
+
+// decide ends the rollout or changes the step.
+func (d *decider) decide(now clock.Millis, t targets) {
+	f := d.judge.worst(now)
+	switch {
+	case f.faulty():
+		d.conclude(RolledBack, reasonFaulty)
+	case now >= d.last() && d.step == stepAll && f.Score < suspectScore && d.shown():
+		d.conclude(Completed, reasonTime)
+	case now >= d.last() && t.new == 0:
+		d.conclude(RolledBack, reasonNoTargets)
+	case now >= d.last():
+		d.conclude(RolledBack, reasonDeadline)
+	case f.Score >= suspectScore || t.new == 0:
+		// The share does not grow.
+	case d.aloneSince > 0 && now-max(d.aloneSince, d.claimedAt) >= inForceMillis:
+		d.conclude(Completed, reasonInForce)
+	case now-d.claimedAt < minTrialMillis || !d.shown():
+	case d.step == stepTrial:
+		d.beginGrowth(now)
+	case now-d.stepAt < lengths[d.step]*clock.Millis(d.scale):
+	case d.step < stepAll:
+		d.setStep(now, d.step+1)
+	case d.hasDrained(t):
+		d.conclude(Completed, reasonDrained)
+	case now >= d.end():
+		// Requests of old targets have until last.
+	}
+}
+
+// beginGrowth leaves the first step once only the time for the others is left and the
+// store confirms that this node decides.
+func (d *decider) beginGrowth(now clock.Millis) {
+	left := d.end() - now
+	if left > growth(d.deadline-d.start) {
+		return
+	}
+	if scaleOf(left) < minScale {
+		return // too late: the deadline ends the rollout
+	}
+	switch d.confirm {
+	case confirmNone:
+		d.confirm = confirmDue
+	case confirmed:
+		d.scale = scaleOf(left)
+		d.setStep(now, stepQuarter)
+	}
+}
+
+// setStep begins a step.
+func (d *decider) setStep(now clock.Millis, step int) {
+	d.step, d.stepAt, d.changed = step, now, true
+	d.share = d.config.Share * trialShare
+	if step > stepTrial {
+		d.share = shares[step]
+	}
+	clear(d.drained)
+	d.note(reasonStep)
+}
+
+// shown reports whether the new version has given a good answer, or cannot have been
+// expected to.
+func (d *decider) shown() bool {
+	return d.judge.good > 0 || d.config.Share*trialShare*(d.old+d.new) < minExpected
+}
+
+// hasDrained reports whether all targets of the old version are without calls.
+func (d *decider) hasDrained(t targets) bool {
+	for _, id := range t.old {
+		if !d.drained[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// conclude sets the outcome.
+func (d *decider) conclude(p Phase, reason string) {
+	d.outcome, d.reason, d.changed = p, reason, true
+	if p == RolledBack {
+		d.share = 0
+	}
+	d.note(reason)
+}
+
+// note adds a line for the log.
+func (d *decider) note(reason string) {
+	d.notes = append(d.notes, reason)
+}
+
+// add adds the evidence of a node.
+func (d *decider) add(now clock.Millis, e Evidence) {
+	d.old += float64(e.Old)
+	d.new += float64(e.New)
+	d.judge.add(now, e.Rows)
+	if e.Target != "" && int(e.Step) == d.step && d.step == stepAll {
+		d.drained[e.Target] = e.Calls == 0
+	}
+}
+
+// learnFinal adopts an outcome that another node knows.
+func (d *decider) learnFinal(p Phase) {
+	if d.done || d.outcome == p {
+		return
+	}
+	d.conclude(p, reasonLearned)
+}
--- a/core/feed/answer.go
+++ b/core/feed/answer.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"hickoryrail/core/canary"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 )
@@ -23,5 +24,8 @@
 		// Position is the state up to which the store was read. In the answer to a
 		// failed call, only its era is set, if it is known.
 		Position Position
+		// Orders holds the rollout orders in the answer; nil if there are none in it, or if
+		// the caller does not handle them.
+		Orders *canary.Orders
 	}
 )
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -1,6 +1,10 @@
 package member
 
-import "hickoryrail/core/ident"
+import (
+	"slices"
+
+	"hickoryrail/core/ident"
+)
 
 const (
 	// Probe asks for a ProbeAck with the same sequence.
@@ -119,6 +123,28 @@
 	return m.Receiver.State <= Left && m.Receiver.Incarnation < maxCounter && m.Receiver.Revision < maxCounter
 }
 
+// SplitLabelled returns the message without the updates whose records have a software
+// version, and a Notice with these. A build that does not know software versions drops the
+// notice and must still receive the rest, such as a probe. It returns false if there are
+// none; plain is then the message itself.
+func (m Message) SplitLabelled() (plain, notice Message, ok bool) {
+	isLabelled := func(u Update) bool { return u.Record.Software != "" }
+	if !slices.ContainsFunc(m.Updates, isLabelled) {
+		return m, Message{}, false
+	}
+	plain, notice = m, m
+	notice.Kind, notice.Sequence, notice.Target, notice.Address, notice.Buckets, notice.Final = Notice, 0, "", "", nil, false
+	plain.Updates, notice.Updates = nil, nil
+	for _, u := range m.Updates {
+		if isLabelled(u) {
+			notice.Updates = append(notice.Updates, u)
+		} else {
+			plain.Updates = append(plain.Updates, u)
+		}
+	}
+	return plain, notice, true
+}
+
 // valid reports whether the fields of a record from a peer are in range.
 func (r Record) valid() bool {
 	return r.Node != "" && r.State <= Left && r.TargetState <= TargetLeft &&
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -62,6 +62,10 @@
 		// other nodes only together with another change, because a release changes
 		// it on every node at once.
 		Held ident.Version
+		// Software is the version of the target's software. It is set only while an order
+		// to roll that version out exists. It is not part of the record's encoding, which
+		// builds without this field read too; io/wire adds it to messages that need it.
+		Software ident.SoftwareVersion `cbor:"-"`
 	}
 )
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -178,6 +178,19 @@
 	return t.notify(now)
 }
 
+// SetSoftware changes the software version in the node's record, where empty means none,
+// and returns the messages that send the change to the neighbours.
+func (t *Table) SetSoftware(now clock.Millis, v ident.SoftwareVersion) []Action {
+	if t.self.Software == v {
+		return nil
+	}
+	t.changeSelf(func(r *Record) {
+		r.Software = v
+		r.Revision++
+	}, "software version changed")
+	return t.notify(now)
+}
+
 // SetGateIncarnation changes the incarnation of the node's admission gate and returns
 // the messages that send the change to the neighbours.
 func (t *Table) SetGateIncarnation(now clock.Millis, gate ident.Incarnation) []Action {
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -29,6 +29,9 @@
 		slots int
 		// candidates has at most MaxSubset elements.
 		candidates []*endpoint
+		// byVersion holds the candidates of each version; nil while no target of the
+		// service has a software version in its record.
+		byVersion map[Version][]*endpoint
 		// delay is the moving average over all targets; 0 before the first answered
 		// call.
 		delay clock.Millis
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -37,7 +37,20 @@
 	ReasonExhausted = "no other target left"
 )
 
+const (
+	// AnyVersion chooses among all targets of a service.
+	AnyVersion Version = iota
+	// OldVersion chooses among the targets without a software version in their record.
+	OldVersion
+	// NewVersion chooses among the targets with a software version in their record.
+	NewVersion
+)
+
 type (
+	// Version restricts a choice to the targets of one version of a service during a
+	// rollout.
+	Version uint8
+
 	// Picker chooses targets by power of two choices over a bounded subset. It
 	// is not safe for concurrent use.
 	Picker struct {
@@ -123,7 +136,7 @@
 	}
 	for name, g := range p.services {
 		if _, ok := v.Service(name); !ok {
-			g.candidates = nil
+			g.candidates, g.byVersion = nil, nil
 			delete(p.services, name)
 		}
 	}
@@ -133,30 +146,36 @@
 // setCandidates sets a group's candidates to its subset of the targets.
 func (p *Picker) setCandidates(now clock.Millis, g *group, targets []view.Target) {
 	wasEmpty := len(g.candidates) == 0
-	g.candidates = g.candidates[:0]
+	g.candidates, g.byVersion = g.candidates[:0], nil
 	for _, t := range p.subset(targets) {
-		e := p.targets[t.ID]
-		switch {
-		case e == nil:
-			e = &endpoint{slowStartAt: now, sampledAt: now, pickedAt: now}
-			if wasEmpty {
-				// Slow start needs earlier targets that take the traffic, and there are none.
-				e.slowStartAt = now - p.Limits.SlowStartMillis
-			}
-			p.targets[t.ID] = e
-		case e.target.GateIncarnation != t.GateIncarnation:
-			e.restart(now)
-		case e.leftAt <= now:
-			// Its gate remembers that it left, and takes it back only after a restart.
-			e.leavingUntil = 0
-		}
-		e.target, e.group, e.present, e.leftAt = t, g, true, clock.Forever
-		e.distanceFactor = p.distanceFactor(t)
-		g.candidates = append(g.candidates, e)
+		g.candidates = append(g.candidates, p.setCandidate(now, g, t, wasEmpty))
 	}
+	p.setVersions(now, g, targets, wasEmpty)
 	p.limitEjected(now, g)
 }
 
+// setCandidate sets the state of a target that is in the view.
+func (p *Picker) setCandidate(now clock.Millis, g *group, t view.Target, wasEmpty bool) *endpoint {
+	e := p.targets[t.ID]
+	switch {
+	case e == nil:
+		e = &endpoint{slowStartAt: now, sampledAt: now, pickedAt: now}
+		if wasEmpty {
+			// Slow start needs earlier targets that take the traffic, and there are none.
+			e.slowStartAt = now - p.Limits.SlowStartMillis
+		}
+		p.targets[t.ID] = e
+	case e.target.GateIncarnation != t.GateIncarnation:
+		e.restart(now)
+	case e.leftAt <= now:
+		// Its gate remembers that it left, and takes it back only after a restart.
+		e.leavingUntil = 0
+	}
+	e.target, e.group, e.present, e.leftAt = t, g, true, clock.Forever
+	e.distanceFactor = p.distanceFactor(t)
+	return e
+}
+
 // distanceFactor returns the factor of the score for the distance to a target.
 func (p *Picker) distanceFactor(t view.Target) float64 {
 	switch {
@@ -186,13 +205,18 @@
 // returns false if all targets are excluded or ejected; the caller can then pick
 // without exclude after a backoff. It allocates nothing.
 func (p *Picker) Pick(now clock.Millis, service ident.ServiceName, exclude []ident.TargetID) (Choice, bool) {
+	return p.PickVersion(now, service, exclude, AnyVersion)
+}
+
+// PickVersion is Pick among the targets of one version.
+func (p *Picker) PickVersion(now clock.Millis, service ident.ServiceName, exclude []ident.TargetID, v Version) (Choice, bool) {
 	g := p.services[service]
-	if g == nil || len(g.candidates) == 0 {
+	if g == nil || len(g.of(v)) == 0 {
 		return Choice{Reason: ReasonNoTargets}, false
 	}
 	var eligible [MaxSubset]*endpoint
 	n := 0
-	for _, e := range g.candidates {
+	for _, e := range g.of(v) {
 		if e.ejected && now >= e.ejectedUntil {
 			p.readmit(now, e, "ejection time is over")
 		}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -23,6 +23,9 @@
 		// GateIncarnation is the incarnation of the admission gate to which requests
 		// are addressed.
 		GateIncarnation ident.Incarnation
+		// Software is the target's software version if an order to roll it out exists;
+		// empty otherwise.
+		Software ident.SoftwareVersion
 	}
 
 	// View is one release with the targets of its services. It is immutable, so it can
@@ -46,6 +49,7 @@
 	return Target{
 		ID: m.Target, Node: m.Node, Address: m.PeerAddress,
 		FailureDomain: m.FailureDomain, Region: m.Region, GateIncarnation: m.GateIncarnation,
+		Software: m.Software,
 	}
 }
 
--- a/io/admin/target.go
+++ b/io/admin/target.go
@@ -49,6 +49,8 @@
 		Announcement Announcement
 		// Slots is the number of requests that the target can run at the same time.
 		Slots ident.Slots
+		// Software is the version of the target's software; empty if it is not stated.
+		Software ident.SoftwareVersion
 	}
 
 	// targetBody is the body of a drain or leave request.
--- a/io/node/finder.go
+++ b/io/node/finder.go
@@ -45,6 +45,10 @@
 	interval := findDelay
 	for time.Now().Before(deadline) && sleep(ctx, interval) && !f.localTarget.known() {
 		interval = findInterval
+		f.fleet.rollouts.awaitOrders()
+		if f.fleet.rollouts.hasOrder() {
+			return ctx.Err() // a probe does not tell the version of the target, and its next report does
+		}
 		if path, ok := f.fleet.healthPath(f.service); ok {
 			f.probe(ctx, path)
 		}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -43,6 +43,8 @@
 		log       logs.Sink
 		service   ident.ServiceName
 		metrics   *metrics
+		// rollouts handles the orders of rollouts; nil handles none.
+		rollouts *rollouts
 		// readRelease requests the given release from the source, and needSource the
 		// newest one. Neither may block.
 		readRelease func(v ident.Version, d ident.Digest)
@@ -74,6 +76,10 @@
 		f.metrics.malformedControl.Inc()
 		return
 	}
+	if m.Canary != nil {
+		f.rollouts.receive(from, *m.Canary)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table == nil {
@@ -221,7 +227,7 @@
 		if a.Fresh {
 			f.transport.Renew(a.To)
 		}
-		f.send(a.To, a.Address, wire.Control{Member: &a.Message})
+		f.gossipMember(a)
 	}
 }
 
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
@@ -36,6 +37,7 @@
 	serviceSource   kernel.Name = "release source"
 	serviceEndpoint kernel.Name = "platform endpoint"
 	serviceFinder   kernel.Name = "target finder"
+	serviceRollouts kernel.Name = "rollouts"
 
 	// hostedRenewalTimeoutMillis is the time without a report after which a target is
 	// removed. A report may arrive seconds late; a target that ends without a leave
@@ -96,6 +98,8 @@
 		Dialect    proxy.Dialect
 		Source     plat.Source
 		Directory  plat.Directory
+		// Statuses holds the status rows of rollouts; required if Rollouts is set.
+		Statuses plat.Statuses
 		// Prober identifies the local target when the node starts; nil disables probing.
 		Prober Prober
 		// Endpoint returns the server on which the node receives calls of the platform
@@ -158,6 +162,9 @@
 	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
+	if err := n.wireRollouts(&h, random); err != nil {
+		return nil, err
+	}
 	if err := n.metrics.register(n.registry, n.fleet); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
@@ -222,21 +229,44 @@
 	return member.Seed{Node: self.Node, Address: self.PeerAddress}
 }
 
+// wireRollouts creates the part that handles rollouts, if it is switched on.
+func (n *Node) wireRollouts(h *Hosted, random *rand.Rand) error {
+	if !h.Rollouts.Enabled() {
+		return nil
+	}
+	r := &rollouts{
+		clock: n.clock, fleet: n.fleet, gateway: n.gateway, statuses: h.Statuses, logger: n.logger, service: h.Settings.Service,
+		known: make(chan struct{}),
+		node:  canary.Node{Self: h.Settings.Node, Config: h.Rollouts, Rand: splitRandom(random)},
+	}
+	n.fleet.rollouts, n.ingress.Rollouts, n.gateway.Replaced = r, r, r
+	return registerRollouts(n.registry, r)
+}
+
+// rolloutServices returns the service of the rollouts' timers, if rollouts are handled.
+func (n *Node) rolloutServices() []service {
+	if n.fleet.rollouts == nil {
+		return nil
+	}
+	return []service{{serviceRollouts, &unit{run: n.fleet.rollouts.run}}}
+}
+
 // registerHosted registers the services with the kernel in the order of their start.
 func (n *Node) registerHosted(w *watcher, f *finder, e Endpoint) error {
-	return n.registerAll([]service{
+	return n.registerAll(slices.Concat([]service{
 		{serviceLog, &unit{run: n.decisions.Run}},
 		{serviceTransport, &unit{open: adaptOpen(n.transport.Open), run: n.transport.Run, drain: n.transport.Drain}},
 		{serviceStalls, &unit{run: n.stallMonitor.run}},
 		{serviceGateway, &unit{open: adaptOpen(n.gateway.Open), run: n.gateway.Run}},
 		{serviceIngress, &unit{open: adaptOpen(n.ingress.Open), run: n.ingress.Run}},
 		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
+	}, n.rolloutServices(), []service{
 		{serviceSource, &unit{run: w.run}},
 		{serviceRenewal, &unit{run: n.localTarget.run, drain: n.drainRequests}},
 		{serviceFinder, &unit{run: f.run}},
 		{serviceAdmin, &unit{open: adaptOpen(n.adminServer.Open), run: n.adminServer.Run, drain: n.adminServer.Drain}},
 		{serviceEndpoint, &unit{open: adaptOpen(e.Open), run: e.Run, drain: e.Drain}},
-	})
+	}))
 }
 
 // RunHosted runs a node until ctx ends. The node then reports that it is not ready, goes
--- a/io/node/localtarget.go
+++ b/io/node/localtarget.go
@@ -52,12 +52,15 @@
 
 // Report handles a numbered report of a target. Late and repeated ones have no effect.
 func (t *localTarget) Report(r admin.Report) error {
+	t.fleet.rollouts.awaitOrders()
 	t.reportMu.Lock()
 	defer t.reportMu.Unlock()
 	switch t.tracker.Apply(r.Status) {
 	case report.Started:
+		t.fleet.rollouts.setSoftware(r.Software)
 		return t.announce(r.Announcement, r.Slots)
 	case report.Renewed:
+		t.fleet.rollouts.setSoftware(r.Software)
 		return t.renewOrAnnounce(r)
 	case report.Draining:
 		return ignoreUnknownTarget(t.Drain(r.Target))
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -177,6 +177,7 @@
 	default:
 	}
 	a, err := w.source.Newest(readCtx)
+	w.fleet.rollouts.ordersRead(a.Orders)
 	refused := errors.Is(err, plat.ErrReleaseRefused)
 	if err != nil && !refused {
 		w.failed(ctx, a)
@@ -197,6 +198,7 @@
 // wait waits for a newer release.
 func (w *watcher) wait(ctx context.Context, step feed.Step) {
 	a, err := w.source.Next(ctx, step.After, step.HoldMillis)
+	w.fleet.rollouts.ordersRead(a.Orders)
 	switch {
 	case ctx.Err() != nil:
 	case errors.Is(err, plat.ErrRevisionUnknown):
--- a/io/plat/source.go
+++ b/io/plat/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
@@ -22,6 +23,15 @@
 		Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error)
 	}
 
+	// Statuses reads and writes the status rows of rollouts. Errors are *result.Error.
+	Statuses interface {
+		// ReadStatus returns the row of a service.
+		ReadStatus(ctx context.Context, service ident.ServiceName) (canary.Status, error)
+		// WriteStatus writes the row of a service if its revision is that of s. If the
+		// condition fails, it returns ErrConflict.
+		WriteStatus(ctx context.Context, service ident.ServiceName, s canary.Status) error
+	}
+
 	// Directory is the list of nodes by which they discover each other. Errors are
 	// *result.Error.
 	Directory interface {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -66,7 +66,7 @@
 	var choice route.Choice
 	ok := d.Kind == retry.Hedge
 	if ok {
-		choice, ok = in.Picker.Pick(now, c.route.Service, c.tried)
+		choice, ok = in.chooseTarget(now, c.route.Service, c.tried)
 	}
 	in.mu.Unlock()
 	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
@@ -133,6 +133,7 @@
 		o.Leaving = in.Dialect.statesLeaving(resp)
 	}
 	o.Verdict = resp.Verdict
+	in.recordSample(c, choice, resp, err, now-sent)
 	if resp.Verdict != result.Ran {
 		lease.Answer.Release()
 	}
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -136,9 +136,9 @@
 func (in *Ingress) pick(c *call) (route.Choice, bool) {
 	now := in.Clock.Now()
 	in.mu.Lock()
-	choice, ok := in.Picker.Pick(now, c.route.Service, c.tried)
+	choice, ok := in.chooseTarget(now, c.route.Service, c.tried)
 	if !ok && len(c.tried) > 0 {
-		choice, ok = in.Picker.Pick(now, c.route.Service, nil)
+		choice, ok = in.chooseTarget(now, c.route.Service, nil)
 	}
 	in.recordEjections()
 	in.mu.Unlock()
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -22,6 +22,8 @@
 		return nil, g.refuse(now, r, result.NotRun, reasonNoTarget), nil
 	case r.Target != g.target.id:
 		return nil, g.refuse(now, r, result.NotRun, reasonOtherTarget), nil
+	case g.Replaced != nil && g.Replaced.Replaced():
+		return nil, g.refuse(now, r, result.NotRun, reasonReplaced), nil
 	}
 	a := g.dedup.Begin(now, r.Gate, r.ID)
 	switch a.Kind {
--- a/io/proxy/gateway.go
+++ b/io/proxy/gateway.go
@@ -92,6 +92,8 @@
 		// OnLeaving, if set, is called when the target states in an answer that it
 		// leaves, once until its next announcement.
 		OnLeaving func(id ident.TargetID)
+		// Replaced refuses new calls during a rollout; nil refuses none.
+		Replaced Replaced
 		// Log receives the admission decisions; nil discards them.
 		Log logs.Sink
 		// Registry registers the metrics; nil leaves them unregistered.
@@ -220,6 +222,13 @@
 	return max(g.tickAt-now, 0)
 }
 
+// Calls returns the number of calls that wait or run.
+func (g *Gateway) Calls() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.calls)
+}
+
 // Load returns the gate's load.
 func (g *Gateway) Load() admit.Load {
 	g.mu.Lock()
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -100,6 +100,8 @@
 		// Freshness and Caps decide on requests with access keys; nil admits all of them.
 		Freshness Freshness
 		Caps      Caps
+		// Rollouts chooses among the versions of a service; nil chooses among all targets.
+		Rollouts Rollouts
 		// Dialect defines the header names and response rules of callers and targets.
 		Dialect Dialect
 		// Service is the service of the target beside the node, from which its
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -6,6 +6,7 @@
 	"hickoryrail/core/canary"
 	"hickoryrail/core/fresh"
 	"hickoryrail/core/grant"
+	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/spread"
 )
@@ -35,6 +36,21 @@
 		Spread *spread.Message
 	}
 
+	// labelledControl is the encoding of a membership message whose records have software
+	// versions. Builds that do not know these drop it.
+	labelledControl struct {
+		_      struct{} `cbor:",toarray"`
+		Member labelledMember
+	}
+
+	// labelledMember is a membership message with the software versions of the records of
+	// its updates, in their order.
+	labelledMember struct {
+		_        struct{} `cbor:",toarray"`
+		Message  member.Message
+		Software []ident.SoftwareVersion
+	}
+
 	// optionalControl is the encoding of the other messages. It has more elements than
 	// baseControl, which tells the two apart.
 	optionalControl struct {
@@ -45,8 +61,13 @@
 	}
 )
 
-// baseControlHeader is the first byte of an encoded baseControl: an array of two elements.
-const baseControlHeader = 0x82
+const (
+	// baseControlHeader is the first byte of an encoded baseControl: an array of two
+	// elements.
+	baseControlHeader = 0x82
+	// labelledControlHeader is that of a labelledControl: an array of one element.
+	labelledControlHeader = 0x81
+)
 
 var (
 	// errControl reports a control message that does not have exactly one field set.
@@ -77,16 +98,28 @@
 	return c, nil
 }
 
-// MarshalCBOR encodes the message as a baseControl or an optionalControl.
+// MarshalCBOR encodes the message as a baseControl, a labelledControl or an
+// optionalControl.
 func (c Control) MarshalCBOR() ([]byte, error) {
+	if c.Member != nil && isLabelled(c.Member) {
+		return Encode(labelledControl{Member: label(*c.Member)})
+	}
 	if c.Member != nil || c.Spread != nil {
 		return Encode(baseControl{Member: c.Member, Spread: c.Spread})
 	}
 	return Encode(optionalControl{Fresh: c.Fresh, Grant: c.Grant, Canary: c.Canary})
 }
 
-// UnmarshalCBOR decodes a baseControl or an optionalControl.
+// UnmarshalCBOR decodes a baseControl, a labelledControl or an optionalControl.
 func (c *Control) UnmarshalCBOR(body []byte) error {
+	if len(body) > 0 && body[0] == labelledControlHeader {
+		l, err := Decode[labelledControl](body, MaxControlBytes)
+		if err != nil {
+			return err
+		}
+		*c = Control{Member: &l.Member.Message}
+		return l.Member.apply()
+	}
 	if len(body) > 0 && body[0] == baseControlHeader {
 		b, err := Decode[baseControl](body, MaxControlBytes)
 		*c = Control{Member: b.Member, Spread: b.Spread}
@@ -117,6 +150,9 @@
 	if c.Spread != nil && c.Spread.Kind > spread.Busy {
 		return errContent
 	}
+	if c.Canary != nil && !c.Canary.Valid() {
+		return errContent
+	}
 	if c.Member == nil {
 		return nil
 	}
@@ -131,13 +167,43 @@
 	return nil
 }
 
+// isLabelled reports whether a record of a message has a software version.
+func isLabelled(m *member.Message) bool {
+	for i := range m.Updates {
+		if m.Updates[i].Record.Software != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// label returns a message with the software versions of its records.
+func label(m member.Message) labelledMember {
+	l := labelledMember{Message: m, Software: make([]ident.SoftwareVersion, len(m.Updates))}
+	for i := range m.Updates {
+		l.Software[i] = m.Updates[i].Record.Software
+	}
+	return l
+}
+
+// apply sets the software versions of the records.
+func (l *labelledMember) apply() error {
+	if len(l.Software) != len(l.Message.Updates) {
+		return errContent
+	}
+	for i, v := range l.Software {
+		l.Message.Updates[i].Record.Software = v
+	}
+	return nil
+}
+
 // stringsWithinLimit reports whether all strings of an update are within
 // maxStringBytes.
 func stringsWithinLimit(u member.Update) bool {
 	r := u.Record
 	for _, n := range [...]int{
 		len(r.Node), len(r.PeerAddress), len(r.FailureDomain), len(r.Region),
-		len(r.Service), len(r.Target), len(u.Observer),
+		len(r.Service), len(r.Target), len(r.Software), len(u.Observer),
 	} {
 		if n > maxStringBytes {
 			return false
--- a/io/wire/former_test.go
+++ b/io/wire/former_test.go
@@ -30,7 +30,7 @@
 
 // laterFields are fields that the former build did not have. They are left unset, in which
 // case they must not change the encoding.
-var laterFields = sets.Of("model.Route.Anonymous", "model.Rules.Teams")
+var laterFields = sets.Of("model.Route.Anonymous", "model.Rules.Teams", "member.Record.Software")
 
 // fill sets every field of v other than laterFields, in the order of declaration, to a value that differs
 // from that of the other fields, so that a moved or renamed field changes the
