--- a/core/feed/answer.go
+++ b/core/feed/answer.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
@@ -26,5 +27,8 @@
 		Position Position
 		// StoreMillis is the store's steady clock at the answer; 0 if it does not state it.
 		StoreMillis clock.Millis
+		// Orders holds the rollout orders in the answer; nil if there are none in it, or if
+		// the caller does not handle them.
+		Orders *canary.Orders
 	}
 )
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -186,6 +186,7 @@
 	}
 	sentAt := w.freshness.now()
 	a, err := w.source.Newest(readCtx)
+	w.fleet.rollouts.ordersRead(a.Orders)
 	refused := errors.Is(err, plat.ErrReleaseRefused)
 	if err != nil && !refused {
 		w.failed(ctx, a)
@@ -211,6 +212,7 @@
 	a, err := w.source.Next(callCtx, step.After, step.HoldMillis)
 	abandoned := callCtx.Err() != nil
 	release()
+	w.fleet.rollouts.ordersRead(a.Orders)
 	switch {
 	case ctx.Err() != nil, err != nil && abandoned:
 	case errors.Is(err, plat.ErrRevisionUnknown):
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -106,6 +106,8 @@
 		// Returns names the time after which a caller that was refused for lack of room may
 		// return; nil leaves it to the dialect. The ingress serializes its calls.
 		Returns *retry.Returns
+		// Rollouts chooses among the versions of a service; nil chooses among all targets.
+		Rollouts Rollouts
 		// Dialect defines the header names and response rules of callers and targets.
 		Dialect Dialect
 		// Service is the service of the target beside the node, from which its
