core/model, io/proxy: tests for single fields of teams and routes

Cause: 24 deliberately broken decisions were tried on a scratch copy; three survived the tests: a delta that leaves out Anonymous or the flag of a team's class, and a team without a class that ranks as Check. Change: a test for each field on its own, and a case for a team without a class.

--- a/core/model/team_test.go
+++ b/core/model/team_test.go
@@ -164,3 +164,38 @@
 		is.True(!strings.Contains(body, field))
 	}
 }
+
+// TestEachFieldMakesADelta guards against a release that differs in one field only and whose
+// delta has no change, so that the field never changes on the nodes that get it.
+func TestEachFieldMakesADelta(t *testing.T) {
+	configuration := func() Configuration {
+		c := seedRelease(1, 1).Configuration
+		c.Rules.Routes = slices.Clone(c.Rules.Routes)
+		c.Rules.Teams = teamsOf(1, 2).Rules.Teams
+		return c
+	}
+	for name, change := range map[string]func(c *Configuration){
+		"anonymous":  func(c *Configuration) { c.Rules.Routes[0].Anonymous = true },
+		"has class":  func(c *Configuration) { c.Rules.Teams[0].HasClass = true },
+		"class":      func(c *Configuration) { c.Rules.Teams[0].HasClass, c.Rules.Teams[0].Class = true, Browse },
+		"rate":       func(c *Configuration) { c.Rules.Teams[0].RequestsPerSecond++ },
+		"no rate":    func(c *Configuration) { c.Rules.Teams[0].RequestsPerSecond = 0 },
+		"burst":      func(c *Configuration) { c.Rules.Teams[0].BurstRequests++ },
+		"key":        func(c *Configuration) { c.Rules.Teams[0].Keys = c.Rules.Teams[0].Keys[:1] },
+		"other name": func(c *Configuration) { c.Rules.Teams[0].Name = "x" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			from, err := NewRelease(1, "a", configuration())
+			is.NoErr(err)
+			changed := configuration()
+			change(&changed)
+			to, err := NewRelease(2, "b", changed)
+			is.NoErr(err)
+			is.True(from.Digest != to.Digest)
+			got, err := MakeDelta(from, to).Apply(from)
+			is.NoErr(err)
+			is.True(equal(got, to))
+		})
+	}
+}
--- a/io/proxy/accesskey_test.go
+++ b/io/proxy/accesskey_test.go
@@ -241,8 +241,8 @@
 	c, _ := decideOn(in, "/check/x", "Authorization", "Bearer n-key")
 	is.Equal(c.request.Rank, admit.NewRank(model.Browse))
 	is.Equal(c.request.Class, model.Check)
-	c, _ = decideOn(in, "/check/x", "Authorization", "Bearer s-1")
-	is.Equal(c.request.Rank, admit.NewRank(model.Check))
+	c, _ = decideOn(in, "/order/x", "Authorization", "Bearer s-1") // a team without a class
+	is.Equal(c.request.Rank, admit.NewRank(model.Action))
 }
 
 // TestHeadersWithoutTeams guards against a header field that is dropped, changed or added in
