io/proxy: a node that has just started waits for its first proof

Cause: with strict revocation a restarted node would answer 503 to every request with a key until its first proof arrives, and use up the callers' retries, although it waits for its first release. Change: within the same bounds as for the release, requests that need a proof wait for it; others do not. Rejections are counted where they are logged, so that a request is counted once.

--- a/io/proxy/accesskey.go
+++ b/io/proxy/accesskey.go
@@ -42,15 +42,41 @@
 	ReasonCap:          "usage-cap",
 }
 
-// rejected returns the outcome of a request that is rejected because of its team, and
-// counts it.
-func (in *Ingress) rejected(reason string, retryAfter clock.Millis) *wire.Response {
-	in.metrics.rejected[reason].Inc()
+// rejected returns the outcome of a request that is rejected because of its team. A
+// retryAfter of 0 stands for the dialect's.
+func rejected(reason string, retryAfter clock.Millis) *wire.Response {
 	resp := notRun(reason)
 	resp.RetryAfterMillis = retryAfter
 	return resp
 }
 
+// admission is what decides on a request: a view, the route there and the caller's team.
+type admission struct {
+	view   *view.View
+	route  model.Route
+	target requestTarget
+	team   *model.Team
+}
+
+// admit decides on a request by the current view, which was v. It returns a refusal for a
+// request that is not admitted; the route is then set if it is known. After the start it
+// waits for the first proof: a node that has just started gets one soon, and its callers
+// would use up their retries.
+func (in *Ingress) admit(callerCtx context.Context, ctx *fasthttp.RequestCtx, v *view.View, now, timeout clock.Millis) (admission, *wire.Response) {
+	for {
+		current, stale := in.provenView(v)
+		r, target, refusal := routeOf(current, ctx)
+		a := admission{view: current, route: r, target: target}
+		if refusal != nil {
+			return a, refusal
+		}
+		a.team, refusal = teamOf(current, &r, &ctx.Request.Header, stale)
+		if refusal == nil || refusal.Reason != reasonStale || !in.awaitProof(callerCtx, now, timeout) {
+			return a, refusal
+		}
+	}
+}
+
 // provenView returns the view that decides on a request with an access key, and the
 // rejection of such requests if Freshness does not vouch for it. Freshness is asked before
 // the view is loaded: in the other order the proof could be that of a later release, which
@@ -64,16 +90,14 @@
 	if ok {
 		return v, nil
 	}
-	resp := notRun(reasonStale)
-	resp.RetryAfterMillis = retryAfter
-	return v, resp
+	return v, rejected(reasonStale, retryAfter)
 }
 
 // teamOf returns the team of a request to route r, or a rejection. The team is nil for a
 // request without a key to an anonymous route, and in a configuration without teams. A
 // request with a key is rejected while stale is set, also on an anonymous route: its key
 // may have been revoked.
-func (in *Ingress) teamOf(v *view.View, r *model.Route, h *fasthttp.RequestHeader, stale *wire.Response) (*model.Team, *wire.Response) {
+func teamOf(v *view.View, r *model.Route, h *fasthttp.RequestHeader, stale *wire.Response) (*model.Team, *wire.Response) {
 	if !v.HasTeams() {
 		return nil, nil
 	}
@@ -82,18 +106,18 @@
 		return nil, nil
 	}
 	if stale != nil {
-		return nil, in.rejected(reasonStale, stale.RetryAfterMillis)
+		return nil, stale
 	}
 	if len(credentials) == 0 {
-		return nil, in.rejected(reasonNoKey, 0)
+		return nil, rejected(reasonNoKey, 0)
 	}
 	key, ok := bearerKey(credentials[0])
 	if !ok || len(credentials) > 1 {
-		return nil, in.rejected(reasonMalformedKey, 0)
+		return nil, rejected(reasonMalformedKey, 0)
 	}
 	t := v.Team(model.DigestKey(key))
 	if t == nil {
-		return nil, in.rejected(reasonUnknownKey, 0)
+		return nil, rejected(reasonUnknownKey, 0)
 	}
 	return t, nil
 }
@@ -133,7 +157,7 @@
 	defer cancel()
 	retryAfter, ok := in.Caps.Take(ctx, c.team)
 	if !ok {
-		return in.rejected(ReasonCap, retryAfter)
+		return rejected(ReasonCap, retryAfter)
 	}
 	c.counted = true
 	return nil
--- a/io/proxy/accesskey_test.go
+++ b/io/proxy/accesskey_test.go
@@ -88,7 +88,7 @@
 // newTeamIngress returns an ingress without a listener for decisions on requests.
 func newTeamIngress(t rapid.TB, c model.Configuration) *Ingress {
 	t.Helper()
-	in := &Ingress{Clock: clock.NewSystem(), Dialect: customDialect().withDefaults()}
+	in := &Ingress{Clock: clock.NewSystem(), Dialect: customDialect().withDefaults(), openedAt: -clock.Minute}
 	in.Dialect.TeamHeader = "Team-Of"
 	if err := in.metrics.register(nil); err != nil {
 		t.Fatal(err)
@@ -215,7 +215,6 @@
 	is.Equal(reason, "") // a team without a cap
 	is.Equal(caps.taken, []ident.TeamName{"south"})
 	in.view.Store(nil)
-	in.openedAt = -clock.Minute
 	_, reason = decideOn(in, "/check/x", "Authorization", "Bearer unknown")
 	is.Equal(reason, reasonNoView)
 }
@@ -233,6 +232,45 @@
 	is.Equal(reason, reasonUnknownKey)
 }
 
+// TestStartWaitsForProof guards against a node that has just started and refuses requests
+// with keys although its first proof is about to arrive, against one that makes others wait
+// for it, and against a wait later on.
+func TestStartWaitsForProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		openedAt clock.Millis
+		reason   string
+		checks   int
+	}{
+		"with a key":      {"/check/x", clock.Minute, "", 4},
+		"no key needed":   {"/order/x", clock.Minute, "", 1},
+		"long after":      {"/check/x", -clock.Minute, reasonStale, 1},
+		"unknown route":   {"/nowhere", clock.Minute, reasonNoRoute, 1},
+		"malformed route": {"/check/../x", clock.Minute, reasonPath, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := newTeamIngress(t, teamRules())
+			in.openedAt = in.Clock.Now() + c.openedAt
+			checks := 0
+			f := &fakeFreshness{retryAfter: 9}
+			f.check = func() {
+				if checks++; checks == 3 {
+					f.retryAfter = 0
+				}
+			}
+			in.Freshness = f
+			fields := []string{"Authorization", "Bearer n-key"}
+			if c.path == "/order/x" {
+				fields = nil
+			}
+			_, reason := decideOn(in, c.path, fields...)
+			is.Equal(reason, c.reason)
+			is.Equal(checks, c.checks)
+		})
+	}
+}
+
 // TestRankOfTeam guards against a team's class that does not go before that of the route, or
 // that also changes the class by which requests are counted.
 func TestRankOfTeam(t *testing.T) {
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -236,8 +236,8 @@
 	in.Log.Record(d)
 }
 
-// recordRefusal writes a request that was not admitted to the decision log; c is nil if
-// its route is not known. Its path is left out, since a caller can choose it freely.
+// recordRefusal writes a request that was not admitted to the decision log, and counts it
+// if it was rejected because of its team; c is nil if its route is not known. Its path is left out, since a caller can choose it freely.
 func (in *Ingress) recordRefusal(ctx *fasthttp.RequestCtx, c *call, resp *wire.Response, now clock.Millis) {
 	d := logs.Decision{At: now, Kind: logs.Answer, Node: in.Self, Verdict: resp.Verdict, Reason: resp.Reason}
 	if v := in.view.Load(); v != nil {
@@ -254,7 +254,8 @@
 			d.Request = ident.RequestID(id)
 		}
 	}
-	if _, ok := rejectionLabels[resp.Reason]; ok {
+	if counter, ok := in.metrics.rejected[resp.Reason]; ok {
+		counter.Inc()
 		in.recordRejection(d)
 		return
 	}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -28,15 +28,11 @@
 	if v == nil {
 		return nil, notRun(reasonNoView)
 	}
-	v, stale := in.provenView(v)
-	r, target, refusal := routeOf(v, ctx)
+	a, refusal := in.admit(callerCtx, ctx, v, now, left)
 	if refusal != nil {
-		return nil, refusal
-	}
-	team, refusal := in.teamOf(v, &r, &ctx.Request.Header, stale)
-	if refusal != nil {
-		return &call{view: v, route: r}, refusal
+		return &call{route: a.route}, refusal
 	}
+	v, r, target, team := a.view, a.route, a.target, a.team
 	ctx.Request.Header.SetHostBytes(target.host) // the authority of an absolute target counts
 	timeout := min(left, r.TimeoutMillis)
 	if in.Store != nil && len(ctx.Request.Header.Peek(headerIdempotencyKey)) > maxKeyBytes {
--- a/io/proxy/start.go
+++ b/io/proxy/start.go
@@ -11,7 +11,7 @@
 
 const (
 	// startWaitMillis is the time after the start of the node during which a call
-	// waits for the first configuration and for the first targets of its service,
+	// waits for the first configuration, its first proof and the first targets of its service,
 	// maxStartWaitShare the largest part of its timeout that it waits, and
 	// startPollInterval the interval between checks.
 	startWaitMillis   = 1 * clock.Second
@@ -36,6 +36,19 @@
 	}
 }
 
+// awaitProof waits after the start until Freshness vouches for the configuration, and
+// reports whether it does.
+func (in *Ingress) awaitProof(ctx context.Context, now, timeout clock.Millis) bool {
+	limit := min(in.openedAt+startWaitMillis, now+timeout*maxStartWaitShare)
+	for in.Clock.Now() < limit && ctx.Err() == nil {
+		time.Sleep(startPollInterval)
+		if _, ok := in.Freshness.Check(); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitTargets waits for the first targets of a service and reports whether to pick
 // again. A node that has just started learns of targets within a few tenths of a
 // second; refusing calls until then would cost their callers a retry.
