--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -25,6 +25,9 @@
 	// promptAgeMillis is the age of the newest proof from which on a leader asks the store
 	// to answer at once.
 	promptAgeMillis = 1800 * clock.Millis(1)
+	// minPromptMillis is the least time between two such calls. An answer may leave the proof
+	// as it is, for example while the source's newest release is one that was refused.
+	minPromptMillis = 500 * clock.Millis(1)
 	// clockReadMillis is the time after which a leader asks the store to answer at once so
 	// that it knows the store's clock closely. The bound that it has grows by 1 ms a second.
 	clockReadMillis = 2 * clock.Minute
@@ -184,7 +187,7 @@
 func (f *freshness) tick(size int) {
 	f.update(func(now clock.Millis) []fresh.Action {
 		out := f.node.Tick(now)
-		if f.substitute.Tick(now, f.node.BestAge(now), size) {
+		if f.held > 0 && f.substitute.Tick(now, f.node.BestAge(now), size) {
 			f.substitutions.Inc()
 			select {
 			case f.due <- struct{}{}:
@@ -256,11 +259,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.held == 0 {
+		return s // there is nothing to prove
+	}
 	now := f.clock.Now()
+	old := f.node.BestAge(now) >= promptAgeMillis
 	switch {
-	case f.node.BestAge(now) >= promptAgeMillis || now-f.promptAt >= clockReadMillis:
+	case old && now-f.promptAt >= minPromptMillis, now-f.promptAt >= clockReadMillis:
 		f.promptAt, s.HoldMillis = now, 0
-	case !f.node.StoreTimed():
+	case old, !f.node.StoreTimed():
 		s.HoldMillis = min(s.HoldMillis, untimedHoldMillis)
 	default:
 		s.HoldMillis = max(s.HoldMillis*clock.Millis(1-holdJitter*f.random.Float64())-f.overhead, 0)
