--- a/core/admit/egress.go
+++ b/core/admit/egress.go
@@ -10,8 +10,9 @@
 	ReasonLink = "link of the target's server cannot send the answer in time"
 
 	// initialAnswerBytes is the expected size of a large answer until one of its route was
-	// seen.
-	initialAnswerBytes = 64 << 10
+	// seen. It is well above the average of 90 KB, because with a size that is too small a
+	// gate that has just started admits more than the link can send in time.
+	initialAnswerBytes = 256 << 10
 	// answerWeight is the weight of the newest answer in the moving averages of its route.
 	answerWeight = 0.1
 	// arriveShare is the share of the time to its goal by which the answer of an arriving
@@ -91,21 +92,21 @@
 	return e.refused
 }
 
+// bounds reports whether a call is of a route with large answers. The methods that take a
+// call are for such calls only, except queued and started.
+func (e *Egress) bounds(c *Call) bool {
+	return e != nil && e.routes[c.Route] != nil
+}
+
 // admits reports whether the answer of an arriving call that waits for a slot can be sent
 // well before its goal. run is the expected run time until one was measured.
 func (e *Egress) admits(now clock.Millis, c *Call, wait, run clock.Millis) bool {
-	if e == nil || e.routes[c.Route] == nil {
-		return true
-	}
 	left := c.effectiveGoal() - now
 	return e.sendsBy(now+arriveShare*left, now, c, wait, run, true)
 }
 
 // mayStart reports whether the answer of a waiting call can still be sent by its goal.
 func (e *Egress) mayStart(now clock.Millis, c *Call, run clock.Millis) bool {
-	if e == nil || e.routes[c.Route] == nil {
-		return true
-	}
 	return e.sendsBy(c.effectiveGoal(), now, c, 0, run, false)
 }
 
@@ -124,7 +125,7 @@
 	before := clock.Millis((float64(waiting) + e.ahead(queued)) / rate)
 	own := clock.Millis(sends * r.size() / rate)
 	end := now + max(wait+run, before) + own
-	if end <= by || before <= wait+run && before+own <= run && end <= c.Deadline {
+	if end <= by || before <= run && end <= c.Deadline {
 		return true
 	}
 	e.refused++
@@ -155,7 +156,7 @@
 
 // queued records a call that waits for a slot.
 func (e *Egress) queued(c *Call) {
-	if e == nil || e.routes[c.Route] == nil {
+	if !e.bounds(c) {
 		return
 	}
 	if e.calls == nil {
@@ -168,7 +169,7 @@
 
 // started records that a call got a slot.
 func (e *Egress) started(c *Call) {
-	if e == nil || e.routes[c.Route] == nil {
+	if !e.bounds(c) {
 		return
 	}
 	if e.calls[c.ID] == nil {
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -143,7 +143,7 @@
 		return append(actions, refuse(c.ID, ReasonDraining))
 	case now >= c.Deadline:
 		return append(actions, refuse(c.ID, ReasonExpired))
-	case !g.Egress.admits(now, &c, g.slotWait(now, c), g.RunMillis):
+	case g.Egress.bounds(&c) && !g.Egress.admits(now, &c, g.slotWait(now, c), g.RunMillis):
 		return append(actions, refuse(c.ID, ReasonLink))
 	case g.free() > 0:
 		g.start(now, c)
@@ -157,10 +157,9 @@
 	return actions
 }
 
-// slotWait returns how long an arriving call would wait for a slot. It is 0 without an
-// Egress, which alone needs it.
+// slotWait returns how long an arriving call would wait for a slot.
 func (g *Gate) slotWait(now clock.Millis, c Call) clock.Millis {
-	if g.Egress == nil || g.free() > 0 {
+	if g.free() > 0 {
 		return 0
 	}
 	return g.queue().expectedWait(now, c)
@@ -299,7 +298,7 @@
 	}
 	for g.free() > 0 && g.queued() > 0 {
 		c, reason := g.waiting.pop(now)
-		if !g.Egress.mayStart(now, &c, g.RunMillis) {
+		if g.Egress.bounds(&c) && !g.Egress.mayStart(now, &c, g.RunMillis) {
 			actions = append(actions, refuse(c.ID, ReasonLink))
 			continue // the slot is for the next call
 		}
--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -50,10 +50,12 @@
 		waits, reads int
 		// controls holds the Control of each node, in order of their start.
 		controls []Control
-		// dialect is that of the nodes, and log receives their logs unless it is nil; set
-		// before they start.
-		dialect proxy.Dialect
-		log     io.Writer
+		// linkBits is the rate of the nodes' links, 0 if it is unknown; dialect is that of
+		// the nodes, and log receives their logs unless it is nil. All are set before they
+		// start.
+		linkBits int64
+		dialect  proxy.Dialect
+		log      io.Writer
 	}
 
 	// nodeSource is the platform as one node's source.
@@ -233,6 +235,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.Limits.LinkBitsPerSecond = h.linkBits
 	n, err := NewHosted(Hosted{
 		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
