--- a/core/admit/pacer.go
+++ b/core/admit/pacer.go
@@ -110,6 +110,11 @@
 	return paceShare * p.measured.correct(p.BytesPerMilli)
 }
 
+// Corrected reports whether the rate is below its setting, because the link is slower.
+func (p *Pacer) Corrected() bool {
+	return p.measured.factor > 0
+}
+
 // Wrote records that a write of n bytes to a connection returned without an error after
 // took.
 func (p *Pacer) Wrote(now clock.Millis, connection uint64, n ident.Bytes, took clock.Millis) {
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -79,6 +79,12 @@
 	hostedLingerMillis = 100 * clock.Millis(1)
 )
 
+// Reasons of the log lines about the link.
+const (
+	reasonLinkSlow      = "link is slower than its setting"
+	reasonLinkRecovered = "link is as fast as its setting"
+)
+
 type (
 	// Hosted configures a node that runs on another platform through an adapter. The
 	// adapter provides the parts that depend on the platform's protocols.
@@ -191,6 +197,7 @@
 	n.gateway.Dialect, n.gateway.Order = h.Dialect, admit.ByGoal
 	if n.link != nil {
 		n.gateway.Sender = n.link
+		n.link.OnCorrected = n.linkCorrected
 	}
 	n.transport = &frame.Transport{
 		Self: h.Settings.Node, Listen: h.Settings.PeerAddress, Registry: n.registry, BodyBytes: n.gateway.Limits.CallBytes(),
@@ -202,6 +209,15 @@
 	n.ingress.Peers, n.stallMonitor.transport = n.transport, n.transport
 }
 
+// linkCorrected logs that the link is slower than its setting, or no longer.
+func (n *Node) linkCorrected(slower bool) {
+	reason := reasonLinkRecovered
+	if slower {
+		reason = reasonLinkSlow
+	}
+	n.decisions.Record(logs.Decision{At: n.clock.Now(), Kind: logs.Member, Node: n.settings.Node, Reason: reason})
+}
+
 // wireHostedFleet creates membership, distribution, and the state of the local target.
 // A hosted node has no reader.
 func (n *Node) wireHostedFleet(random *rand.Rand) {
--- a/io/uplink/link.go
+++ b/io/uplink/link.go
@@ -29,6 +29,11 @@
 	// Link is the link of the node's server. A nil Link, or one that is not active, delays
 	// nothing.
 	Link struct {
+		// OnCorrected, if set, is called when the rate is first corrected because the link
+		// is slower than its setting, and when the setting applies again. Set it before the
+		// first Begin.
+		OnCorrected func(slower bool)
+
 		clock clock.Clock
 
 		// mu guards what follows. It is acquired after the locks of the callers.
@@ -171,9 +176,15 @@
 	if s == nil {
 		return
 	}
-	s.link.mu.Lock()
-	defer s.link.mu.Unlock()
-	s.link.pacer.Wrote(s.link.clock.Now(), connection, ident.Bytes(n), clock.Millis(took.Seconds()*millisPerSecond))
+	l := s.link
+	l.mu.Lock()
+	before := l.pacer.Corrected()
+	l.pacer.Wrote(l.clock.Now(), connection, ident.Bytes(n), clock.FromDuration(took))
+	after := l.pacer.Corrected()
+	l.mu.Unlock()
+	if before != after && l.OnCorrected != nil {
+		l.OnCorrected(after)
+	}
 }
 
 // End ends the sending. whole is false if the answer was not sent to its end.
