--- a/io/frame/codec.go
+++ b/io/frame/codec.go
@@ -179,6 +179,18 @@
 	return writePiece(conn, rest)
 }
 
+// writeUncopied writes the frame at once, without a copy of its payload, within writeMillis.
+func (m message) writeUncopied(conn net.Conn) error {
+	start := message{kind: m.kind, id: m.id}.encode()
+	binary.BigEndian.PutUint32(start, uint32(headerBytes+len(m.payload)))
+	if err := conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())); err != nil {
+		return err
+	}
+	both := net.Buffers{start, m.payload}
+	_, err := both.WriteTo(conn)
+	return err
+}
+
 // writePiece writes bytes within writeMillis.
 func writePiece(conn net.Conn, piece []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeMillis.Duration())); err != nil {
--- a/io/frame/paced.go
+++ b/io/frame/paced.go
@@ -73,7 +73,7 @@
 	defer s.writing.Unlock()
 	s.limitBuffer()
 	began := time.Now()
-	if err := writePiece(s.conn, m.encode()); err != nil {
+	if err := m.writeUncopied(s.conn); err != nil {
 		_ = s.conn.Close()
 		return err
 	}
