--- a/core/grant/coordinator.go
+++ b/core/grant/coordinator.go
@@ -44,12 +44,15 @@
 
 // answer returns the grant for one team.
 func (c *coordinator) answer(now clock.Millis, from ident.NodeID, m *Message, a *Ask) Grant {
+	if a.Demand <= 0 && c.pools[a.Team] == nil {
+		return Grant{Team: a.Team} // nothing to give back to
+	}
 	p := c.pool(now, m.Version, a)
 	if p == nil {
 		return Grant{Team: a.Team, Declined: true}
 	}
 	p.accrue(now, c.members)
-	p.account(now, from, m.Run, a)
+	p.account(now, from, m.Run, a, c.members.nodes(now))
 	g := p.grant(now, a, c.random)
 	if a.Demand > 0 {
 		h := p.holders[from]
@@ -76,7 +79,7 @@
 		return p
 	}
 	hash := hashOf(a.Team)
-	if to, ok := c.members.coordinator(hash); !ok || to.Node != c.members.self {
+	if to, ok := c.members.coordinator(hash); !ok || to.Node != c.members.self || c.members.alone(now) {
 		delete(c.pools, a.Team)
 		return nil
 	}
--- a/core/grant/limits.go
+++ b/core/grant/limits.go
@@ -12,8 +12,10 @@
 
 const (
 	// leaseMillis is the time after the sending of a Request in which the tokens of its
-	// Reply may be used. It is also the longest time for which a node asks in advance.
-	leaseMillis = 1 * clock.Second
+	// Reply may be used, and advanceMillis the longest time for which a node asks in
+	// advance. Nodes ask again before the end of the lease even if few requests arrive.
+	leaseMillis   = 2 * clock.Second
+	advanceMillis = 1200 * clock.Millis(1)
 	// roundMillis is the shortest interval between Requests of a node for a team whose
 	// demand is above its cap, so that such a team costs each node 10 messages/s.
 	roundMillis = 100 * clock.Millis(1)
--- a/core/grant/members.go
+++ b/core/grant/members.go
@@ -59,7 +59,7 @@
 	for _, e := range m.live {
 		earlier[e.Node] = e
 	}
-	wasMinority := m.minority()
+	wasApart := m.minority() || m.alone(now)
 	changed := len(live) != len(m.live)
 	next := make([]rankedMember, 0, len(live))
 	for _, l := range live {
@@ -76,7 +76,7 @@
 	for _, e := range earlier {
 		m.departed = append(m.departed, departure{hash: e.hash, at: now})
 	}
-	if wasMinority && !m.minority() {
+	if wasApart && !m.minority() {
 		m.startedAt = now
 	}
 	if changed {
@@ -123,12 +123,18 @@
 
 // nodes returns the number of nodes among which a cap is divided.
 func (m *members) nodes(now clock.Millis) int {
-	if len(m.live) <= 1 && now-m.startedAt < aloneMillis {
+	if m.alone(now) {
 		return max(m.known, assumedNodes)
 	}
 	return max(m.known, 1)
 }
 
+// alone reports whether this node knows no other although it may have started too recently
+// for that.
+func (m *members) alone(now clock.Millis) bool {
+	return len(m.live) <= 1 && now-m.startedAt < aloneMillis
+}
+
 // minority reports whether the live members are not more than half of the known ones. The
 // rest may then have a coordinator that hands out most of the cap.
 func (m *members) minority() bool {
--- /dev/null
+++ b/core/grant/members_test.go
@@ -0,0 +1,100 @@
+package grant
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
+)
+
+// teamSuffix returns a suffix that makes names distinct.
+func teamSuffix(i int) ident.TeamName {
+	return ident.TeamName(strconv.Itoa(i))
+}
+
+// membersOf returns the view of a node that knows a number of members, some of which are
+// live.
+func membersOf(live, known int) *members {
+	m := &members{self: nodeName(0), selfHash: hashOf(nodeName(0))}
+	var list []Member
+	for i := range live {
+		list = append(list, Member{Node: nodeName(i)})
+	}
+	m.set(0, list, known)
+	return m
+}
+
+// TestDividedFleet guards against parts of a divided fleet that together hand out more than
+// the cap, and against nodes whose end costs others a part of it.
+func TestDividedFleet(t *testing.T) {
+	is := is.New(t)
+	now := clock.Minute
+	for _, known := range []int{1, 2, 3, 16, 61, 790} {
+		for live := 1; live < known; live++ {
+			both := membersOf(live, known).share(now, 0) + membersOf(known-live, known).share(now, 0)
+			is.True(both <= 1+missingTolerance+1e-9)
+			// The other nodes have no coordinator.
+			alone := membersOf(live, known).share(now, 0) + safeShare*float64(known-live)/float64(known)
+			is.True(alone <= 1+missingTolerance+1e-9)
+			is.Equal(membersOf(known, known).share(now, known-live), membersOf(live, known).share(now, 0))
+		}
+		is.Equal(membersOf(known, known).share(now, 0), 1.0)
+	}
+	is.Equal(membersOf(60, 61).share(now, 0), 1.0)
+}
+
+// TestFreshNodeIsNotAlone guards against a node that takes itself for the whole fleet just
+// after its start, and hands out the whole cap.
+func TestFreshNodeIsNotAlone(t *testing.T) {
+	is := is.New(t)
+	m := membersOf(1, 1)
+	is.Equal(m.nodes(0), assumedNodes)
+	is.Equal(m.nodes(aloneMillis), 1) // a fleet of one node
+	c := coordinator{config: testConfig, members: m, pools: make(map[ident.TeamName]*pool)}
+	request := Message{Asks: []Ask{{Team: testTeam, RequestsPerSecond: 10, Waiting: 1, Demand: 1}}}
+	is.True(c.request(0, "n1", &request).Grants[0].Declined)
+}
+
+// TestSince guards against a new coordinator that starts with a full stock, and against an
+// old one that starts without one.
+func TestSince(t *testing.T) {
+	is := is.New(t)
+	m := membersOf(3, 3)
+	team := hashOf(testTeam)
+	is.Equal(m.since(team), clock.Millis(0))
+	var highest Member
+	highest, _ = m.coordinator(team)
+	var rest []Member
+	for _, l := range m.live {
+		if l.Node != highest.Node {
+			rest = append(rest, l.Member)
+		}
+	}
+	m.set(clock.Minute, rest, 3)
+	if highest.Node != m.self {
+		is.Equal(m.since(team), clock.Minute)
+	}
+	m.set(clock.Minute+departureMillis, rest, 3)
+	is.Equal(m.since(team), clock.Millis(0))
+}
+
+// TestFewTeamsMove guards against a change of the members that gives teams of other nodes
+// another coordinator.
+func TestFewTeamsMove(t *testing.T) {
+	is := is.New(t)
+	before, after := membersOf(61, 61), membersOf(60, 61)
+	moved := 0
+	for i := range 2000 {
+		team := hashOf(testTeam + teamSuffix(i))
+		a, _ := before.coordinator(team)
+		b, _ := after.coordinator(team)
+		if a != b {
+			is.Equal(a.Node, nodeName(60))
+			moved++
+		}
+	}
+	is.True(moved > 10 && moved < 70)
+}
--- a/core/grant/node.go
+++ b/core/grant/node.go
@@ -59,6 +59,10 @@
 		usages  map[ident.TeamName]*usage
 		links   map[ident.NodeID]*link
 		tickets uint64
+		// mayWait is set if requests may be waiting. Without any, the timers run once in a
+		// round; checkedAt is when they last ran.
+		mayWait   bool
+		checkedAt clock.Millis
 		// sweptAt is the time of the last search for state that can be dropped.
 		sweptAt clock.Millis
 		actions []Action
@@ -98,6 +102,7 @@
 		return n.refuse(now, u)
 	}
 	n.tickets++
+	n.mayWait = true
 	u.waiters = append(u.waiters, waiter{ticket: n.tickets, until: now + waitMillis})
 	n.ask(now, u.link, true)
 	return Decision{Outcome: Waiting, Ticket: n.tickets}
--- a/core/grant/pool.go
+++ b/core/grant/pool.go
@@ -18,8 +18,10 @@
 	// advanceShare is the share of the capacity that nodes may hold in advance. The rest
 	// is free for requests at other nodes. Nodes get advanceFill of it, so that the last of
 	// them to ask in a round gets as much as the first.
-	advanceShare = 0.6
-	advanceFill  = 0.7
+	advanceShare = 0.8
+	advanceFill  = 0.8
+	// advanceRounding is added before the number of tokens in advance is rounded down.
+	advanceRounding = 0.1
 	// askMillis is the interval between two Requests for one team that a coordinator can
 	// bear, and maxRoundMillis bounds the round that follows from it. On 0.16 of a core, a
 	// Request and its Reply take some 2 in 1,000 of the time at 200 a second and node.
@@ -28,6 +30,8 @@
 	// rareShare is the number of requests of a node in a round below which the node may ask
 	// for each.
 	rareShare = 0.5
+	// fullRatio is the mean ratio above which the stock covers the demand.
+	fullRatio = 0.99
 	// maxSpreadMillis bounds SpreadMillis: callers do not wait longer.
 	maxSpreadMillis = 2 * clock.Second
 	// silentMinMillis and silentMaxMillis bound the time after which a node with demand
@@ -66,7 +70,10 @@
 		arrivals   float64
 		arrivalsAt clock.Millis
 		askedAt    clock.Millis
-		holders    map[ident.NodeID]*holder
+		// recentRatio is a weighted mean of ratio, at time ratioAt.
+		recentRatio float64
+		ratioAt     clock.Millis
+		holders     map[ident.NodeID]*holder
 		// silent is the number of holders that count as unreachable, at time silentAt.
 		silent   int
 		silentAt clock.Millis
@@ -159,8 +166,8 @@
 	}
 }
 
-// account takes over what a node reports about its tokens and its requests.
-func (p *pool) account(now clock.Millis, from ident.NodeID, run uint64, a *Ask) {
+// account takes over what one of the nodes reports about its tokens and its requests.
+func (p *pool) account(now clock.Millis, from ident.NodeID, run uint64, a *Ask, nodes int) {
 	p.arrivals = p.arrivals*decay(now-p.arrivalsAt, arrivalMillis) + float64(a.Arrived)
 	p.arrivalsAt, p.askedAt = now, now
 	h := p.holders[from]
@@ -179,10 +186,18 @@
 	h.until = max(h.until, now+leaseMillis)
 	h.interval += (min(now-h.askedAt, silentMaxMillis) - h.interval) / 4
 	h.askedAt, h.demand = now, a.Demand
-	p.stock -= float64(a.Safe)
+	p.stock -= min(float64(a.Safe), p.safeDebit(now, nodes))
 	p.bound()
 }
 
+// safeDebit returns the largest number of requests, admitted by the safe part of one node,
+// that count against the stock. Earlier ones were admitted before this node became the
+// coordinator, or while accrue left the rate for the safe part of a silent node.
+func (p *pool) safeDebit(now clock.Millis, nodes int) float64 {
+	seconds := float64(min(now-p.since, silentMaxMillis) / clock.Second)
+	return safeShare * p.limits.Rate / float64(nodes) * max(seconds, 0)
+}
+
 // grant decides how many tokens a node gets.
 func (p *pool) grant(now clock.Millis, a *Ask, random *rand.Rand) Grant {
 	g := Grant{Team: a.Team, Warming: now-p.since < warmMillis}
@@ -193,7 +208,7 @@
 	waiting, held := float64(a.Waiting), float64(a.Held)
 	demand := max(p.arrivals/float64(arrivalMillis/clock.Second), a.Demand)
 	round := p.round()
-	ratio := p.ratio(demand, round)
+	ratio := p.smoothRatio(now, demand, round)
 	if ratio < 1 {
 		want := ratio*(a.Demand*float64(round/clock.Second)+waiting) - held
 		if p.ratio(demand, roundMillis) >= 1 {
@@ -229,13 +244,25 @@
 	return (max(p.stock, 0) + reserveShare*p.limits.Rate*seconds) / (demand * seconds)
 }
 
+// smoothRatio returns the weighted mean of recent ratios. With the present ones, the last
+// nodes to ask in a round would get the least.
+func (p *pool) smoothRatio(now clock.Millis, demand float64, round clock.Millis) float64 {
+	weight := 1 - decay(now-p.ratioAt, round/2)
+	p.recentRatio += (min(p.ratio(demand, round), 1) - p.recentRatio) * weight
+	p.ratioAt = now
+	if p.recentRatio > fullRatio {
+		return 1
+	}
+	return p.recentRatio
+}
+
 // advance returns the number of tokens that a node gets for requests that have not arrived
 // yet, if the stock covers the demand of all nodes.
 func (p *pool) advance(a *Ask, demand, free float64) float64 {
 	limit := advanceShare * p.capacity
-	horizon := min(advanceFill*limit/demand, float64(leaseMillis/clock.Second))
-	// A node that expects less than one request until the end of the lease asks for each.
-	want := math.Floor(a.Demand*horizon + 0.3)
+	horizon := min(advanceFill*limit/demand, float64(advanceMillis/clock.Second))
+	// A node that expects less than one request in that time asks for each.
+	want := math.Floor(a.Demand*horizon + advanceRounding)
 	return max(min(want-float64(a.Held), limit-p.held, math.Floor(free/2)), 0)
 }
 
--- a/core/grant/timers.go
+++ b/core/grant/timers.go
@@ -9,6 +9,10 @@
 
 // tick ends waits that are over, repeats Requests and drops old state.
 func (n *node) tick(now clock.Millis) {
+	if !n.mayWait && now-n.checkedAt < roundMillis {
+		return
+	}
+	n.checkedAt, n.mayWait = now, false
 	for id, l := range n.links {
 		if l.expire(now) {
 			n.events = append(n.events, Event{Kind: CoordinatorSilent, Node: id})
@@ -17,6 +21,7 @@
 		for _, u := range l.teams {
 			n.endWaits(now, u)
 			urgent = urgent || len(u.waiters) > 0
+			n.mayWait = n.mayWait || len(u.waiters) > 0
 			wanted = wanted || u.quiet(now)
 		}
 		if urgent || wanted {
--- a/core/grant/usage.go
+++ b/core/grant/usage.go
@@ -14,13 +14,18 @@
 	demandMillis  = 2 * clock.Second
 	surgeMillis   = 250 * clock.Millis(1)
 	surgeRequests = 3
+	// leastCount is the weighted count that the demand is based on at least.
+	leastCount = 0.01
 	// refillMillis is the time before the tokens run out, or lapse, at which a node asks
 	// for more. It covers a round trip and the wait for a round.
 	refillMillis = 150 * clock.Millis(1)
 	// quietMillis is the shortest time without requests after which a node gives back its
 	// tokens, and quietArrivals that time in requests that it should have received.
-	quietMillis   = 400 * clock.Millis(1)
-	quietArrivals = 3
+	// quietSurgeMillis is the shortest time while demand is above the cap: the coordinator
+	// then soon takes a node that does not ask for unreachable.
+	quietMillis      = 1 * clock.Second
+	quietSurgeMillis = 400 * clock.Millis(1)
+	quietArrivals    = 4
 	// teamIdleMillis is the time without requests after which a team's state is dropped.
 	teamIdleMillis = 10 * clock.Second
 )
@@ -74,9 +79,11 @@
 	u.arrived++
 }
 
-// demand returns the expected rate of requests, in requests/s.
+// demand returns the expected rate of requests, in requests/s; it is above 0. The last
+// request is left out: a rate measured at arrivals would otherwise be too high for a team
+// with few requests, whose tokens would lapse.
 func (u *usage) demand(now clock.Millis) float64 {
-	d := u.slow * decay(now-u.takenAt, demandMillis) / float64(demandMillis/clock.Second)
+	d := max(u.slow-1, leastCount) * decay(now-u.takenAt, demandMillis) / float64(demandMillis/clock.Second)
 	if fast := u.fast * decay(now-u.takenAt, surgeMillis); fast >= surgeRequests {
 		d = max(d, fast/float64(surgeMillis/clock.Second))
 	}
@@ -89,8 +96,11 @@
 	if !u.advance {
 		return false
 	}
-	interval := demandMillis / clock.Millis(u.slow)
-	return now-u.takenAt >= max(quietMillis, quietArrivals*interval)
+	shortest := quietMillis
+	if u.spread > 0 {
+		shortest = quietSurgeMillis
+	}
+	return now-u.takenAt >= max(shortest, quietArrivals*demandMillis/clock.Millis(u.slow))
 }
 
 // lapse drops the tokens at the end of their lease.
@@ -106,7 +116,7 @@
 		return false
 	}
 	d := u.demand(now)
-	if d*float64(leaseMillis/clock.Second) < 1 {
+	if d*float64(advanceMillis/clock.Second) < 1 {
 		return false // the node asks for each request
 	}
 	return float64(u.tokens) <= d*float64(refillMillis/clock.Second) || u.leaseEnd-now < refillMillis
