--- a/core/grant/limits.go
+++ b/core/grant/limits.go
@@ -12,8 +12,10 @@
 
 const (
 	// leaseMillis is the time after the sending of a Request in which the tokens of its
-	// Reply may be used. It is also the longest time for which a node asks in advance.
-	leaseMillis = 1 * clock.Second
+	// Reply may be used, and advanceMillis the longest time for which a node asks in
+	// advance. Nodes ask again before the end of the lease even if few requests arrive.
+	leaseMillis   = 2 * clock.Second
+	advanceMillis = 1200 * clock.Millis(1)
 	// roundMillis is the shortest interval between Requests of a node for a team whose
 	// demand is above its cap, so that such a team costs each node 10 messages/s.
 	roundMillis = 100 * clock.Millis(1)
@@ -34,6 +36,8 @@
 	// whole rate. Its predecessor may still hand out tokens to nodes that have not heard
 	// of the change.
 	warmMillis = 600 * clock.Millis(1)
+	// maxLimit bounds rates and bursts, in requests/s and requests.
+	maxLimit = 1 << 22
 )
 
 // Limits is the usage cap of a team.
@@ -42,9 +46,10 @@
 	Rate, Burst float64
 }
 
-// LimitsOf returns the usage cap of a team that has one.
+// LimitsOf returns the usage cap of a team that has one. No fleet reaches maxLimit, so a
+// higher cap is treated like that.
 func LimitsOf(t *model.Team) Limits {
-	return Limits{Rate: t.RequestsPerSecond, Burst: t.BurstRequests}
+	return Limits{Rate: min(t.RequestsPerSecond, maxLimit), Burst: min(t.BurstRequests, maxLimit)}
 }
 
 // capacity returns the largest sum of free tokens and unused tokens at nodes.
--- a/core/grant/node.go
+++ b/core/grant/node.go
@@ -59,6 +59,10 @@
 		usages  map[ident.TeamName]*usage
 		links   map[ident.NodeID]*link
 		tickets uint64
+		// mayWait is set if requests may be waiting. Without any, the timers run once in a
+		// round; checkedAt is when they last ran.
+		mayWait   bool
+		checkedAt clock.Millis
 		// sweptAt is the time of the last search for state that can be dropped.
 		sweptAt clock.Millis
 		actions []Action
@@ -83,6 +87,7 @@
 		return Decision{Outcome: Admitted}
 	}
 	if u.link == nil || u.link.failed {
+		u.arrived = 0 // a coordinator must not take old requests for present demand
 		if u.link != nil {
 			n.ask(now, u.link, true)
 		}
@@ -98,6 +103,7 @@
 		return n.refuse(now, u)
 	}
 	n.tickets++
+	n.mayWait = true
 	u.waiters = append(u.waiters, waiter{ticket: n.tickets, until: now + waitMillis})
 	n.ask(now, u.link, true)
 	return Decision{Outcome: Waiting, Ticket: n.tickets}
@@ -128,6 +134,7 @@
 	}
 	u.generation = n.members.generation
 	to, ok := n.members.coordinator(u.hash)
+	ok = ok && validTeam(u.name)
 	if ok && u.link != nil && u.link.member == to {
 		return
 	}
