core/canary, core/trial, io/bench: handovers, failures of each phase, measurement of rollouts

Cause: a rollout whose decider is killed, paused, cut off or refused by the store late ended without the time to complete a good version; two deciders could run beside each other; a restored store led to a rollback after the deadline. Change: a decider that the store does not answer names its successor; the epoch is the revision of the row that the decider wrote; the row is read every 1.5 s; the share holds while it cannot be read; a grown share is stale after 1.2 s; bad answers of a single target are no reason to hold. Tests in core/trial for the store, the decider, the order and the targets; bench row rollouts.

--- a/core/canary/action.go
+++ b/core/canary/action.go
@@ -44,6 +44,7 @@
 	reasonLearned   = "outcome is known from another node"
 	reasonEnded     = "rollout ended"
 	reasonResigned  = "store does not answer this node; another one decides"
+	reasonLost      = "another node has taken over"
 )
 
 type (
--- a/core/canary/decider.go
+++ b/core/canary/decider.go
@@ -11,8 +11,10 @@
 	// finalMillis is how long the outcome is announced.
 	finalMillis = 3 * clock.Second
 	// minTrialMillis is the least time in which a decider collects evidence before it
-	// increases the share, also after it has taken over.
+	// increases the share, and minAgainMillis the same for one that has taken over after
+	// the share had grown: its predecessor had seen enough.
 	minTrialMillis = 1500 * clock.Millis(1)
+	minAgainMillis = 500 * clock.Millis(1)
 	// inForceMillis is the time without targets of the old version after which a rollout
 	// has nothing left to do.
 	inForceMillis = 2 * clock.Second
@@ -20,7 +22,17 @@
 	// time of failed calls after which another node takes over: the store may refuse just
 	// this one.
 	storeRetryMillis = 300 * clock.Millis(1)
-	resignMillis     = 1200 * clock.Millis(1)
+	resignMillis     = 800 * clock.Millis(1)
+	// handoverMillis is the same for a decider that has announced a state and names its
+	// successor, and maxHandovers the number of handovers in succession: after that, it is
+	// the store that does not answer, and the last decider stays.
+	handoverMillis = 300 * clock.Millis(1)
+	maxHandovers   = 4
+	// confirmMillis is the time between two reads of the row, which show that the store
+	// answers this node and that no other one has taken over. The share grows only if the
+	// last one is not older than confirmedMillis.
+	confirmMillis   = 1500 * clock.Millis(1)
+	confirmedMillis = 2500 * clock.Millis(1)
 	// maxPauseMillis is the time between two ticks from which on a decider was paused and
 	// gives up: another node may decide, and its evidence is old.
 	maxPauseMillis = 1 * clock.Second
@@ -59,9 +71,10 @@
 		claimedAt clock.Millis
 		// verifying is set after a write of Running until the row is read.
 		verifying bool
-		// confirm requests a read of the row before the share grows, which shows that the
-		// store can be written and that no other node has taken over.
-		confirm confirmation
+		// confirmedAt is the time of the last read that showed the row to be this decider's.
+		confirmedAt clock.Millis
+		// hadGrown is set if the share had grown under an earlier decider.
+		hadGrown bool
 		// maybeOwn is set while a write has no known outcome, so that a row with a later
 		// revision may be this node's own.
 		maybeOwn bool
@@ -82,10 +95,17 @@
 		share  float64
 		// outcome is what was decided; Pending before that.
 		outcome Phase
-		reason  string
+		// known is set if the outcome was in the store before.
+		known bool
 		// done is set once the outcome is in the store.
 		done   bool
 		doneAt clock.Millis
+		// inherited is set if the state was handed over: the step goes on from there.
+		inherited bool
+		// handovers is the number of handovers in succession, and handOver requests
+		// another one.
+		handovers int
+		handOver  bool
 		// resigned is set once another node has to decide, or does.
 		resigned bool
 		// changed requests an announcement.
@@ -93,9 +113,6 @@
 		notes   []string
 	}
 
-	// confirmation is the state of the read before the share grows.
-	confirmation uint8
-
 	// targets are the targets of a service that can get requests.
 	targets struct {
 		old []ident.TargetID
@@ -103,17 +120,24 @@
 	}
 )
 
-const (
-	confirmNone confirmation = iota
-	confirmDue
-	confirmed
-)
-
 // newDecider returns a decider that reads the status row first.
 func newDecider(now clock.Millis, c Config, r *rollout) *decider {
-	return &decider{
+	d := &decider{
 		config: c, order: r.order, start: r.startedAt, deadline: r.deadline, judge: newJudge(now),
-		drained: make(map[ident.TargetID]bool), stepAt: now, retryAt: now,
+		drained: make(map[ident.TargetID]bool), stepAt: now, retryAt: now, hadGrown: r.state.Step > stepTrial,
+	}
+	if r.phase == Running && r.hasState && r.state.Share == 0 {
+		d.outcome = RolledBack // decided, and not known to be written
+	}
+	return d
+}
+
+// inherit continues the state that another decider has handed over.
+func (d *decider) inherit(s State) {
+	d.inherited, d.handovers, d.changed = true, int(s.Handovers), true
+	d.step, d.share = min(int(s.Step), stepAll), s.Share
+	if d.handovers >= maxHandovers && d.outcome == Pending {
+		d.step, d.share = stepTrial, min(d.share, d.config.Share*trialShare)
 	}
 }
 
@@ -135,13 +159,25 @@
 	} else if d.aloneSince == 0 {
 		d.aloneSince = now
 	}
-	if d.claimed && d.outcome == Pending {
+	switch {
+	case d.outcome != Pending:
+	case d.claimed:
 		d.decide(now, t)
+	case d.inherited && d.judge.worst(now).faulty():
+		d.conclude(RolledBack, reasonFaulty)
 	}
-	if d.outcome == Completed && !d.uncertain && now > d.deadline && !d.done {
+	if d.outcome == Completed && !d.uncertain && !d.known && now > d.deadline && !d.done {
 		d.conclude(RolledBack, reasonDeadline) // nobody can have seen Completed
 	}
-	if d.failingSince > 0 && now-d.failingSince >= resignMillis && !d.uncertain {
+	acting := d.claimedAt > 0 || d.inherited
+	switch failing := now - d.failingSince; {
+	case d.failingSince == 0:
+	case acting && failing >= handoverMillis && d.handovers < maxHandovers:
+		d.note(reasonResigned)
+		d.handOver = true
+		return nil
+	case !acting && failing >= resignMillis:
+		d.note(reasonResigned)
 		d.resigned = true
 		return nil
 	}
@@ -154,17 +190,18 @@
 	switch {
 	case f.faulty():
 		d.conclude(RolledBack, reasonFaulty)
-	case now >= d.last() && d.step == stepAll && f.Score < suspectScore && d.shown():
+	case now >= d.last() && d.step == stepAll && !f.suspect() && d.shown():
 		d.conclude(Completed, reasonTime)
 	case now >= d.last() && t.new == 0:
 		d.conclude(RolledBack, reasonNoTargets)
 	case now >= d.last():
 		d.conclude(RolledBack, reasonDeadline)
-	case f.Score >= suspectScore || t.new == 0:
+	case f.suspect() || t.new == 0:
 		// The share does not grow.
 	case d.aloneSince > 0 && now-max(d.aloneSince, d.claimedAt) >= inForceMillis:
 		d.conclude(Completed, reasonInForce)
-	case now-d.claimedAt < minTrialMillis || !d.shown():
+	case now-d.claimedAt < d.minTrial() || !d.shown() || now-d.confirmedAt > confirmedMillis:
+		// There is too little evidence, or the store does not answer.
 	case d.step == stepTrial:
 		d.beginGrowth(now)
 	case now-d.stepAt < lengths[d.step]*clock.Millis(d.scale):
@@ -177,25 +214,25 @@
 	}
 }
 
-// beginGrowth leaves the first step once only the time for the others is left and the
-// store confirms that this node decides.
+// beginGrowth leaves the first step once only the time for the others is left.
 func (d *decider) beginGrowth(now clock.Millis) {
-	left := d.end() - now
-	if left > growth(d.deadline-d.start) {
+	if d.end()-now > growth(d.deadline-d.start) {
 		return
 	}
-	if scaleOf(left) < minScale {
-		return // too late: the deadline ends the rollout
-	}
-	switch d.confirm {
-	case confirmNone:
-		d.confirm = confirmDue
-	case confirmed:
-		d.scale = scaleOf(left)
+	if scale := scaleOf(d.last() - now); scale >= minScale { // else the deadline ends the rollout
+		d.scale = scale
 		d.setStep(now, stepQuarter)
 	}
 }
 
+// minTrial returns the least time in which evidence is collected.
+func (d *decider) minTrial() clock.Millis {
+	if d.hadGrown {
+		return minAgainMillis
+	}
+	return minTrialMillis
+}
+
 // setStep begins a step.
 func (d *decider) setStep(now clock.Millis, step int) {
 	d.step, d.stepAt, d.changed = step, now, true
@@ -225,7 +262,7 @@
 
 // conclude sets the outcome.
 func (d *decider) conclude(p Phase, reason string) {
-	d.outcome, d.reason, d.changed = p, reason, true
+	d.outcome, d.changed = p, true
 	if p == RolledBack {
 		d.share = 0
 	}
@@ -252,5 +289,6 @@
 	if d.done || d.outcome == p {
 		return
 	}
+	d.known = true
 	d.conclude(p, reasonLearned)
 }
--- a/core/canary/message.go
+++ b/core/canary/message.go
@@ -102,6 +102,9 @@
 		// the new version gets.
 		Step  uint8
 		Share float64
+		// Handovers counts the deciders in succession that the store did not answer and
+		// that therefore named the next one.
+		Handovers uint8
 	}
 
 	// Row counts the answers to the requests of one route.
--- a/core/canary/node.go
+++ b/core/canary/node.go
@@ -14,8 +14,8 @@
 const (
 	// takeoverMillis is the time without an announcement from which on the first live node
 	// decides, and takeoverStepMillis the additional time for each further one.
-	takeoverMillis     = 1500 * clock.Millis(1)
-	takeoverStepMillis = 400 * clock.Millis(1)
+	takeoverMillis     = 1200 * clock.Millis(1)
+	takeoverStepMillis = 200 * clock.Millis(1)
 	// resignedMillis is how long a node that has resigned does not decide.
 	resignedMillis = 5 * clock.Second
 	// evidenceMillis is the time between two messages with evidence.
@@ -232,8 +232,13 @@
 		return nil
 	}
 	r.forward = true
-	if d := r.decider; d != nil && s.Decider != n.Self && s.Phase == Running {
+	switch {
+	case s.Phase != Running:
+	case r.decider != nil && s.Decider != n.Self:
 		n.resign(now, r) // the other one has taken over
+	case r.decider == nil && s.Decider == n.Self && s.Handovers > 0:
+		r.decider = newDecider(now, n.Config, r)
+		r.decider.inherit(s)
 	}
 	return nil
 }
@@ -271,3 +276,12 @@
 	}
 	return Action{Kind: Note, Service: r.order.Service, Note: d}
 }
+
+// Decider returns the node that decides on the rollout of a service, as far as this node
+// knows; empty if it knows none.
+func (n *Node) Decider(service ident.ServiceName) ident.NodeID {
+	if r := n.rollouts[service]; r != nil && r.hasState {
+		return r.state.Decider
+	}
+	return ""
+}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -13,6 +13,9 @@
 	// staleMillis is the age of the last announcement from which on a node sends nothing to
 	// the new version: the decider announces the state twice a second.
 	staleMillis = 3 * clock.Second
+	// staleGrownMillis is the same for a share above Config.Share: a version that turns out
+	// to be faulty then gets too many requests while nobody decides.
+	staleGrownMillis = 1200 * clock.Millis(1)
 	// maxCredit bounds the requests that the new version is owed, so that it gets no burst
 	// after a time in which it could not be reached.
 	maxCredit = 2
@@ -124,7 +127,11 @@
 
 // fresh reports whether the state is recent enough to send requests to the new version.
 func (r *rollout) fresh(now clock.Millis) bool {
-	return r.hasState && now-r.stateAt <= staleMillis
+	limit := staleMillis
+	if r.state.Step > stepTrial {
+		limit = staleGrownMillis
+	}
+	return r.hasState && now-r.stateAt <= limit
 }
 
 // merge handles an announcement of the rollout and reports whether it is news.
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -11,7 +11,7 @@
 	maxMarginShare  = 1.0 / 3
 	// trialShare is the part of Config.Share that the new version gets in the first step.
 	// The other part is for the last steps.
-	trialShare = 0.5
+	trialShare = 0.4
 	// fullScheduleMillis is the duration from which on the last steps have their full
 	// length; they are shorter in shorter rollouts.
 	fullScheduleMillis = 10 * clock.Second
@@ -31,11 +31,12 @@
 )
 
 // shares holds the share of the new version in the steps after the first one, and lengths
-// their least duration. Until stepAll, the new version gets requests for about 0.6 s, and
-// with a trial of 10 s at half of a tenth 1.1 s, of the 1.6 s that a tenth of 16 s is.
+// their least duration. Until stepAll, the new version gets the requests of 0.9 s: those of
+// 0.4 s in a trial of 10 s at 0.4 of a tenth, and of 0.5 s in the next two steps. A tenth of
+// 16 s is 1.6 s.
 var (
 	shares  = [...]float64{stepQuarter: 0.2, stepHalf: 0.5, stepAll: 1}
-	lengths = [...]clock.Millis{stepQuarter: 1000, stepHalf: 800, stepAll: 1500}
+	lengths = [...]clock.Millis{stepQuarter: 800, stepHalf: 700, stepAll: 1300}
 )
 
 // margin returns the time before the deadline at which the outcome is to be written.
--- a/core/canary/tick.go
+++ b/core/canary/tick.go
@@ -28,7 +28,7 @@
 			r.waitFrom = now
 		}
 		out = append(out, n.takeOver(now, r, s.Records)...)
-		out = append(out, n.tickDecider(now, r, s.Address)...)
+		out = append(out, n.tickDecider(now, r, s.Address, s.Records)...)
 		out = append(out, n.sendEvidence(now, r, s)...)
 		out = append(out, n.query(now, r)...)
 	}
@@ -95,7 +95,7 @@
 	}
 	r.decider = newDecider(now, n.Config, r)
 	if r.phase.Final() {
-		r.decider.outcome = r.phase
+		r.decider.outcome, r.decider.known = r.phase, true
 	}
 	r.verify = false
 	if !r.hasState {
@@ -105,7 +105,7 @@
 }
 
 // tickDecider runs the decider and announces its state.
-func (n *Node) tickDecider(now clock.Millis, r *rollout, address string) []Action {
+func (n *Node) tickDecider(now clock.Millis, r *rollout, address string, records []member.Record) []Action {
 	d := r.decider
 	if d == nil {
 		return nil
@@ -113,9 +113,9 @@
 	d.start, d.deadline = r.startedAt, r.deadline
 	out := d.tick(now, r.targets)
 	out = append(out, n.notes(now, r)...)
-	if d.resigned {
+	if d.resigned || d.handOver && n.handOver(now, r, records) {
 		n.resign(now, r)
-		return append(out, n.noteOf(now, r, reasonResigned))
+		return out
 	}
 	n.announce(now, r, address)
 	if d.done && now-d.doneAt >= finalMillis {
@@ -124,6 +124,34 @@
 	return out
 }
 
+// handOver names the next live node as the decider. It returns false without another one.
+func (n *Node) handOver(now clock.Millis, r *rollout, records []member.Record) bool {
+	var first, next *member.Record
+	for i := range records {
+		m := &records[i]
+		if m.State != member.Alive || m.Node == n.Self {
+			continue
+		}
+		if first == nil {
+			first = m
+		}
+		if next == nil && m.Node > n.Self {
+			next = m
+		}
+	}
+	next = cmp.Or(next, first)
+	if next == nil {
+		return false
+	}
+	d := r.decider
+	r.state = State{
+		Order: r.order, Decider: next.Node, Address: next.PeerAddress, Phase: Running,
+		Epoch: r.state.Epoch + 1, Beat: 1, Step: uint8(d.step), Share: d.share, Handovers: uint8(d.handovers + 1),
+	}
+	r.stateAt, r.hasState, r.forward = now, true, true
+	return true
+}
+
 // notes returns the decisions that the decider of a rollout has made since the last call.
 func (n *Node) notes(now clock.Millis, r *rollout) []Action {
 	var out []Action
@@ -137,14 +165,18 @@
 // announce updates the state if this node decides and an announcement is due.
 func (n *Node) announce(now clock.Millis, r *rollout, address string) {
 	d := r.decider
-	if d.claimedAt == 0 && !d.done && d.outcome == Pending || !d.changed && now-r.stateAt < beatMillis {
+	if d.claimedAt == 0 && !d.done && !d.inherited && d.outcome == Pending || !d.changed && now-r.stateAt < beatMillis {
 		return
 	}
 	d.changed = false
-	s := State{Order: r.order, Decider: n.Self, Address: address, Epoch: r.state.Epoch, Beat: r.state.Beat + 1, Step: uint8(d.step), Share: d.share, Phase: Running}
+	s := State{Order: r.order, Decider: n.Self, Address: address, Epoch: r.state.Epoch, Beat: r.state.Beat + 1, Step: uint8(d.step), Share: d.share, Phase: Running, Handovers: uint8(d.handovers)}
 	if r.state.Decider != n.Self || !r.hasState {
 		s.Epoch, s.Beat = r.state.Epoch+1, 1
 	}
+	if d.claimed && uint64(d.row.Revision) > s.Epoch {
+		// Of two nodes that have both written the row, the last one decides.
+		s.Epoch, s.Beat = uint64(d.row.Revision), 1
+	}
 	if d.done {
 		s.Phase = d.outcome
 	}
--- a/core/canary/write.go
+++ b/core/canary/write.go
@@ -8,7 +8,7 @@
 		return nil
 	}
 	switch {
-	case !d.claimed || d.confirm == confirmDue:
+	case !d.claimed, d.outcome == Pending && now-d.confirmedAt >= confirmMillis:
 		d.call = reading
 		return []Action{{Kind: ReadStatus, Service: d.order.Service}}
 	case d.outcome != Pending:
@@ -43,15 +43,14 @@
 		d.claim(now)
 		return d.nextCall(now)
 	case lost:
+		d.note(reasonLost)
 		d.resigned = true
 		return nil
 	case s.Phase.Final() && s.To == d.order.To:
 		d.finish(now, s.Phase)
 		return nil
 	case mine:
-		if d.confirm == confirmDue {
-			d.confirm = confirmed
-		}
+		d.confirmedAt = now
 		return d.nextCall(now)
 	case s.Phase == Running && s.To != d.order.To:
 		// An order that is replaced must have an outcome too.
@@ -79,7 +78,7 @@
 		d.storeFailed(now)
 	}
 	// The row decides: this write may have been done, or another node has taken over.
-	d.claimed, d.confirm = false, confirmNone
+	d.claimed = false
 	return nil
 }
 
@@ -99,16 +98,25 @@
 	return d.nextCall(now)
 }
 
-// claim begins to decide: with new evidence and at the first step, unless the outcome is
-// known already.
+// claim begins to decide: with new evidence, and at the first step unless the state was
+// handed over. A decider that writes the row again, for example because the store has lost
+// it, goes on.
 func (d *decider) claim(now clock.Millis) {
-	d.claimed, d.claimedAt, d.confirm = true, now, confirmNone
-	if d.outcome != Pending {
+	again := d.claimedAt > 0
+	d.claimed, d.confirmedAt, d.handovers = true, now, 0
+	if !again {
+		d.claimedAt = now
+	}
+	if again || d.outcome != Pending {
 		return
 	}
-	d.judge, d.old, d.new = newJudge(now), 0, 0
-	d.setStep(now, stepTrial)
-	d.notes = d.notes[:len(d.notes)-1]
+	if d.inherited && d.step > stepTrial {
+		d.scale = max(scaleOf(d.last()-now), minScale)
+		d.stepAt = now
+	} else {
+		d.step, d.stepAt, d.share = stepTrial, now, d.config.Share*trialShare
+	}
+	d.judge, d.old, d.new, d.changed = newJudge(now), 0, 0, true
 	d.note(reasonStarted)
 }
 
--- a/core/trial/fleet.go
+++ b/core/trial/fleet.go
@@ -82,8 +82,10 @@
 		events  eventQueue
 		counter uint64
 		byID    map[ident.NodeID]*Host
-		// records are the member records as all nodes see them.
-		records []member.Record
+		// records are the member records as all nodes see them, and byVersion the routable
+		// targets among them without and with a label.
+		records   []member.Record
+		byVersion [2][]*Target
 	}
 
 	// Host is a node with the target beside it.
@@ -112,8 +114,10 @@
 		StartedAt clock.Millis
 		// Stopped is set once the target does not run.
 		Stopped bool
-		calls   int
-		host    *Host
+		// Broken makes all requests to the target fail.
+		Broken bool
+		calls  int
+		host   *Host
 	}
 
 	// Result is the outcome of a run.
@@ -124,6 +128,10 @@
 		// FiftiethBadAt is the time of the 50th bad answer, and LastNewAt that of the last
 		// request to the new version.
 		FiftiethBadAt, LastNewAt clock.Millis
+		// EndAt is the time of the outcome, and EndNew and EndBad the requests to the new
+		// version and its bad answers until then.
+		EndAt          clock.Millis
+		EndNew, EndBad int
 		// Refused counts requests without a target.
 		Refused int
 		// Messages counts the messages between nodes, and MaxMessages those that the node
@@ -245,6 +253,8 @@
 		orders := canary.Orders{Era: f.Store.era, Revision: f.Store.version}
 		if f.Store.order != nil {
 			orders.List = []canary.Order{*f.Store.order}
+		} else {
+			orders.Withdrawn = []ident.ServiceName{Service}
 		}
 		if h.Refused || f.Store.Down {
 			continue
@@ -356,7 +366,7 @@
 
 // updateRecords makes the present state of the nodes known to all nodes.
 func (f *Fleet) updateRecords() {
-	f.records = make([]member.Record, len(f.Nodes))
+	f.records, f.byVersion = make([]member.Record, len(f.Nodes)), [2][]*Target{}
 	for i, h := range f.Nodes {
 		r := member.Record{Node: h.ID, PeerAddress: string(h.ID), Service: Service, Software: h.label}
 		if h.Down {
@@ -366,6 +376,10 @@
 			r.Target, r.TargetState = t.ID, member.Ready
 		}
 		f.records[i] = r
+		if r.Routable() {
+			group := min(len(r.Software), 1)
+			f.byVersion[group] = append(f.byVersion[group], h.Target)
+		}
 	}
 }
 
--- a/core/trial/store.go
+++ b/core/trial/store.go
@@ -103,6 +103,9 @@
 
 // statusChanged makes the platform stop the targets that an outcome does not need.
 func (f *Fleet) statusChanged(row canary.Status) {
+	if r := &f.Result; row.Phase.Final() && r.EndAt == 0 {
+		r.EndAt, r.EndNew, r.EndBad = f.Now, r.New, r.NewBad
+	}
 	f.After(storeMillis, func() {
 		for _, t := range f.Targets {
 			if row.Phase == canary.Completed && t.Software != row.To || row.Phase == canary.RolledBack && t.Software == row.To {
--- a/io/bench/run.go
+++ b/io/bench/run.go
@@ -59,6 +59,9 @@
 	{"convergence", "time and bytes of a burst of releases by fleet size and RoundMillis", func(quick bool) (*Table, error) {
 		return ReleaseConvergence(size(quick, 1, SpreadBursts), size(quick, []int{10}, []int{50, 200, 790})...)
 	}},
+	{"rollouts", "bad answers and time to the end of rollouts of good and faulty versions by fleet size", func(quick bool) (*Table, error) {
+		return Rollouts(size(quick, 1, RolloutRuns), size(quick, 1, RolloutGoodRuns), size(quick, []int{16}, []int{16, 73, 300, 790})...), nil
+	}},
 	{"traffic", "control bytes of real transports on loopback, all in one process", func(quick bool) (*Table, error) {
 		return ControlTraffic(size(quick, 3, TrafficNodes), size(quick, 300*time.Millisecond, TrafficDuration))
 	}},
