platform, io/node, io/wire, core/route: tests of rollouts outside of the state machine

Cause: the rows, the messages, the choice of targets and the wiring had no tests of their own. Change: tests of orders and status rows against a store that keeps its conditions, of messages out of range, of records with and without a software version, of the choice by version, and of a rollout of three hosted nodes with a good and a faulty version. The fake stores in platform and io/node learn conditions, from and limit, orders and status rows.

--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
@@ -50,6 +51,15 @@
 		waits, reads int
 		// controls holds the Control of each node, in order of their start.
 		controls []Control
+		// rollouts are the settings of rollouts of the nodes, set before they start. orders
+		// are the orders in the source, and ordersRevision is the revision at which they were
+		// written; nil if the nodes do not handle orders.
+		rollouts       canary.Config
+		orders         *canary.Orders
+		ordersRevision ident.Revision
+		// statuses are the status rows, and statusCalls the calls about them.
+		statuses    map[ident.ServiceName]canary.Status
+		statusCalls int
 		// dialect is that of the nodes, and log receives their logs unless it is nil; set
 		// before they start.
 		dialect proxy.Dialect
@@ -113,14 +123,58 @@
 	if h.invalid {
 		return feed.Answer{Position: h.position}, errInvalidRelease
 	}
-	return feed.Answer{Release: h.release, Position: h.position}, nil
+	return feed.Answer{Release: h.release, Position: h.position, Orders: h.ordersAt(true)}, nil
+}
+
+// ordersAt returns the orders for an answer; nil without rollouts. The caller holds mu.
+func (h *fakePlatform) ordersAt(whole bool) *canary.Orders {
+	if !h.rollouts.Enabled() {
+		return nil
+	}
+	o := canary.Orders{Whole: whole, Era: h.position.Era, Revision: h.position.Revision}
+	if h.orders != nil {
+		o.List = h.orders.List
+	}
+	return &o
+}
+
+// order writes an order.
+func (h *fakePlatform) order(o canary.Order) {
+	h.change(func() {
+		h.position.Revision++
+		o.Era, o.Revision = h.position.Era, h.position.Revision
+		h.orders, h.ordersRevision = &canary.Orders{List: []canary.Order{o}}, o.Revision
+	})
+}
+
+func (h *fakePlatform) ReadStatus(_ context.Context, service ident.ServiceName) (canary.Status, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.statusCalls++
+	return h.statuses[service], nil
+}
+
+func (h *fakePlatform) WriteStatus(_ context.Context, service ident.ServiceName, s canary.Status) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.statusCalls++
+	if h.statuses[service].Revision != s.Revision {
+		return plat.ErrConflict
+	}
+	if h.statuses == nil {
+		h.statuses = make(map[ident.ServiceName]canary.Status)
+	}
+	h.position.Revision++
+	s.Revision = h.position.Revision
+	h.statuses[service] = s
+	return nil
 }
 
 func (h *fakePlatform) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
 	for {
 		h.mu.Lock()
 		a, written, down, changed := feed.Answer{Release: h.release, Position: h.position}, h.releaseRevision, h.down, h.changed
-		invalid := h.invalid
+		invalid, ordered, orders := h.invalid, h.ordersRevision, h.ordersAt(false)
 		if written > after && !down {
 			h.waits++
 		}
@@ -134,6 +188,8 @@
 			return feed.Answer{Position: a.Position}, errInvalidRelease
 		case written > after:
 			return a, nil
+		case ordered > after:
+			return feed.Answer{Position: a.Position, Orders: orders}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -234,7 +290,7 @@
 		t.Fatal(err)
 	}
 	n, err := NewHosted(Hosted{
-		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
+		Settings: s, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Statuses: h, Rollouts: h.rollouts, Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
 			defer h.mu.Unlock()
