core/canary: shorter last steps, and gates that refuse after the ingresses have switched

Change: the last steps take 0.7, 0.6 and 1.2 s; gates refuse 150 ms after the announcement. The model makes the attempts of a request one after the other with the latency of the network; three at the same instant were refused by gates that had switched a millisecond before. Measured: go test ./core/trial ./core/canary and go test -run Rollout ./io/node pass.

--- a/core/canary/node.go
+++ b/core/canary/node.go
@@ -139,7 +139,7 @@
 	if r == nil || software == r.order.To {
 		return false
 	}
-	return r.phase == Completed && now-r.stateAt < completedMillis || r.phase == Running && r.fresh(now) && r.state.Share >= 1 && r.targets.new > 0
+	return r.phase == Completed && now-r.stateAt < completedMillis || r.refuses(now) && r.targets.new > 0
 }
 
 // Choose returns the version for the next request to a service that has labelled targets.
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -19,6 +19,10 @@
 	// maxCredit bounds the requests that the new version is owed, so that it gets no burst
 	// after a time in which it could not be reached.
 	maxCredit = 2
+	// refuseMillis is the time after an announcement that all requests go to the new version
+	// from which on the gates of the old one refuse calls: other nodes may not have received
+	// it yet, and would have to send the calls again.
+	refuseMillis = 150 * clock.Millis(1)
 	// completedMillis is the time after the end of a completed rollout in which the old
 	// targets still get no requests. The platform stops them at once; a target with
 	// another version after that time belongs to no rollout.
@@ -70,6 +74,8 @@
 		state    State
 		stateAt  clock.Millis
 		hasState bool
+		// allAt is since when all requests go to the new version, if they do.
+		allAt clock.Millis
 		// phase never changes once it is final.
 		phase Phase
 
@@ -143,7 +149,8 @@
 				return false
 			}
 		}
-		r.phase, r.state, r.stateAt, r.hasState = s.Phase, s, now, true
+		r.phase = s.Phase
+		r.setState(now, s)
 		if r.decider != nil {
 			r.decider.learnFinal(s.Phase)
 		}
@@ -160,10 +167,24 @@
 	if s.Phase != Running || r.phase.Final() || r.hasState && !newer {
 		return false
 	}
-	r.phase, r.state, r.stateAt, r.hasState = Running, s, now, true
+	r.phase = Running
+	r.setState(now, s)
 	return true
 }
 
+// setState sets the last announcement.
+func (r *rollout) setState(now clock.Millis, s State) {
+	if s.Share < 1 || r.state.Share < 1 {
+		r.allAt = now
+	}
+	r.state, r.stateAt, r.hasState = s, now, true
+}
+
+// refuses reports whether the gates beside targets of the old version refuse new calls.
+func (r *rollout) refuses(now clock.Millis) bool {
+	return r.phase == Running && r.fresh(now) && r.state.Share >= 1 && now-r.allAt >= refuseMillis
+}
+
 // choose returns the version for the next request. hasOld and hasNew report whether
 // targets of the versions are known.
 func (r *rollout) choose(now clock.Millis, hasOld, hasNew bool) route.Version {
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -32,11 +32,11 @@
 
 // shares holds the share of the new version in the steps after the first one, and lengths
 // their least duration. Until stepAll, the new version gets the requests of 0.9 s: those of
-// 0.4 s in a trial of 10 s at 0.4 of a tenth, and of 0.5 s in the next two steps. A tenth of
-// 16 s is 1.6 s.
+// 0.45 s in a trial of 11 s at 0.4 of a tenth, and of 0.45 s in the next two steps. A tenth
+// of 16 s is 1.6 s. In stepAll, each node reports once within 1 s.
 var (
 	shares  = [...]float64{stepQuarter: 0.2, stepHalf: 0.5, stepAll: 1}
-	lengths = [...]clock.Millis{stepQuarter: 800, stepHalf: 700, stepAll: 1300}
+	lengths = [...]clock.Millis{stepQuarter: 700, stepHalf: 600, stepAll: 1200}
 )
 
 // margin returns the time before the deadline at which the outcome is to be written.
--- a/core/canary/tick.go
+++ b/core/canary/tick.go
@@ -144,11 +144,11 @@
 		return false
 	}
 	d := r.decider
-	r.state = State{
+	r.setState(now, State{
 		Order: r.order, Decider: next.Node, Address: next.PeerAddress, Phase: Running,
 		Epoch: r.state.Epoch + 1, Beat: 1, Step: uint8(d.step), Share: d.share, Handovers: uint8(d.handovers + 1),
-	}
-	r.stateAt, r.hasState, r.forward = now, true, true
+	})
+	r.forward = true
 	return true
 }
 
@@ -183,7 +183,8 @@
 	if !r.phase.Final() {
 		r.phase = s.Phase
 	}
-	r.state, r.stateAt, r.hasState, r.forward = s, now, true, true
+	r.setState(now, s)
+	r.forward = true
 }
 
 // sendEvidence sends what this node has observed to the decider, at most once in
@@ -195,7 +196,7 @@
 	e := Evidence{Service: r.order.Service, To: r.order.To, Old: r.old, New: r.new, Step: r.state.Step}
 	for i := range s.Records {
 		m := &s.Records[i]
-		if m.Node == n.Self && m.Service == r.order.Service && m.Routable() && m.Software != r.order.To && r.state.Share >= 1 {
+		if m.Node == n.Self && m.Service == r.order.Service && m.Routable() && m.Software != r.order.To && r.refuses(now) {
 			e.Target, e.Calls = m.Target, uint32(max(s.Calls, 0))
 		}
 	}
--- a/core/trial/request.go
+++ b/core/trial/request.go
@@ -10,8 +10,12 @@
 	"hickoryrail/core/route"
 )
 
-// slowFactor is the factor of the usual run time from which on an answer counts as bad.
-const slowFactor = 3
+const (
+	// slowFactor is the factor of the usual run time from which on an answer counts as bad.
+	slowFactor = 3
+	// maxTries is the number of attempts of a request that gates refuse.
+	maxTries = 3
+)
 
 // routeNames holds the names of the routes.
 var routeNames = [routeCount]ident.RouteName{"a", "b", "c"}
@@ -29,25 +33,26 @@
 
 // request sends a request of a random node to a target.
 func (f *Fleet) request() {
-	h := f.Nodes[f.rand.IntN(len(f.Nodes))]
+	f.try(f.Nodes[f.rand.IntN(len(f.Nodes))], maxTries)
+}
+
+// try makes an attempt, and further ones while gates refuse it.
+func (f *Fleet) try(h *Host, left int) {
 	if !f.runs(h) {
 		return
 	}
-	for range 3 { // a target whose gate refuses did not run the request
-		t, v := f.choose(h)
-		if t == nil {
-			f.Result.Refused++
-			return
-		}
-		if f.accepts(t) {
-			f.start(h, t, v)
-			return
-		}
+	t, v := f.choose(h)
+	switch {
+	case t == nil || left == 0:
+		f.Result.Refused++
+	case f.accepts(t):
+		f.start(h, t, v)
+	default:
 		if v == route.NewVersion {
 			h.Node.Refund(Service)
 		}
+		f.After(2*f.latency(), func() { f.try(h, left-1) })
 	}
-	f.Result.Refused++
 }
 
 // accepts reports whether the gate of a target takes a new call.
--- a/io/bench/rollout.go
+++ b/io/bench/rollout.go
@@ -21,8 +21,10 @@
 	rolloutWorkMillis = 100 * clock.Millis(1)
 	// rolloutPerNode is the rate of requests per node.
 	rolloutPerNode = 8
-	// rolloutScaled is the size of fleet above which there are fewer runs.
+	// rolloutScaled is the size of fleet above which there are fewer runs, and rolloutLeast
+	// the number of these.
 	rolloutScaled = 73
+	rolloutLeast  = 5
 )
 
 // rolloutCase is a version that is rolled out.
@@ -82,7 +84,7 @@
 				count = goodRuns
 			}
 			if n > rolloutScaled {
-				count = max(count*rolloutScaled/n/2, 1)
+				count = max(count*rolloutScaled/n/4, min(count, rolloutLeast))
 			}
 			addRollouts(t, n, count, c)
 		}
