--- a/core/canary/node.go
+++ b/core/canary/node.go
@@ -123,6 +123,11 @@
 	return r
 }
 
+// Ordered reports whether an order is known.
+func (n *Node) Ordered() bool {
+	return len(n.rollouts) > 0
+}
+
 // Label returns the version that an order for a service names; false without an order.
 func (n *Node) Label(service ident.ServiceName) (ident.SoftwareVersion, bool) {
 	r := n.rollouts[service]
--- a/io/node/rollouts.go
+++ b/io/node/rollouts.go
@@ -48,8 +48,9 @@
 	// service is that of the target beside the node.
 	service ident.ServiceName
 
-	// active is set while ticks are needed, and replaced while the gate refuses new calls.
-	active, replaced atomic.Bool
+	// ordered is set once an order is known, active while ticks are needed, and replaced
+	// while the gate refuses new calls.
+	ordered, active, replaced atomic.Bool
 	// known is closed after the first whole read of the orders, or the wait for it.
 	known     chan struct{}
 	knownOnce sync.Once
@@ -152,6 +153,7 @@
 	r.mu.Lock()
 	now := r.clock.Now()
 	actions := event(now, &r.node)
+	r.ordered.Store(r.node.Ordered())
 	r.active.Store(r.node.Active())
 	r.replaced.Store(r.node.Refuses(now, r.service, r.software))
 	label, ok := r.node.Label(r.service)
@@ -258,6 +260,9 @@
 
 // Record implements proxy.Rollouts.
 func (r *rollouts) Record(s canary.Sample) {
+	if !r.ordered.Load() {
+		return
+	}
 	r.mu.Lock()
 	actions := r.node.Record(r.clock.Now(), s)
 	r.mu.Unlock()
