--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -13,9 +13,16 @@
 	// staleMillis is the age of the last announcement from which on a node sends nothing to
 	// the new version: the decider announces the state twice a second.
 	staleMillis = 3 * clock.Second
+	// staleGrownMillis is the same for a share above Config.Share: a version that turns out
+	// to be faulty then gets too many requests while nobody decides.
+	staleGrownMillis = 1200 * clock.Millis(1)
 	// maxCredit bounds the requests that the new version is owed, so that it gets no burst
 	// after a time in which it could not be reached.
 	maxCredit = 2
+	// refuseMillis is the time after an announcement that all requests go to the new version
+	// from which on the gates of the old one refuse calls: other nodes may not have received
+	// it yet, and would have to send the calls again.
+	refuseMillis = 150 * clock.Millis(1)
 	// completedMillis is the time after the end of a completed rollout in which the old
 	// targets still get no requests. The platform stops them at once; a target with
 	// another version after that time belongs to no rollout.
@@ -67,6 +74,8 @@
 		state    State
 		stateAt  clock.Millis
 		hasState bool
+		// allAt is since when all requests go to the new version, if they do.
+		allAt clock.Millis
 		// phase never changes once it is final.
 		phase Phase
 
@@ -124,16 +133,24 @@
 
 // fresh reports whether the state is recent enough to send requests to the new version.
 func (r *rollout) fresh(now clock.Millis) bool {
-	return r.hasState && now-r.stateAt <= staleMillis
+	limit := staleMillis
+	if r.state.Step > stepTrial {
+		limit = staleGrownMillis
+	}
+	return r.hasState && now-r.stateAt <= limit
 }
 
 // merge handles an announcement of the rollout and reports whether it is news.
 func (r *rollout) merge(now clock.Millis, s State) bool {
 	if s.Phase.Final() {
 		if r.phase.Final() {
-			return false
+			r.verify = r.verify && s.Epoch <= r.state.Epoch // else another node has verified it
+			if s.Phase != r.phase || s.Epoch <= r.state.Epoch {
+				return false
+			}
 		}
-		r.phase, r.state, r.stateAt, r.hasState = s.Phase, s, now, true
+		r.phase = s.Phase
+		r.setState(now, s)
 		if r.decider != nil {
 			r.decider.learnFinal(s.Phase)
 		}
@@ -150,10 +167,24 @@
 	if s.Phase != Running || r.phase.Final() || r.hasState && !newer {
 		return false
 	}
-	r.phase, r.state, r.stateAt, r.hasState = Running, s, now, true
+	r.phase = Running
+	r.setState(now, s)
 	return true
 }
 
+// setState sets the last announcement.
+func (r *rollout) setState(now clock.Millis, s State) {
+	if s.Share < 1 || r.state.Share < 1 {
+		r.allAt = now
+	}
+	r.state, r.stateAt, r.hasState = s, now, true
+}
+
+// refuses reports whether the gates beside targets of the old version refuse new calls.
+func (r *rollout) refuses(now clock.Millis) bool {
+	return r.phase == Running && r.fresh(now) && r.state.Share >= 1 && now-r.allAt >= refuseMillis
+}
+
 // choose returns the version for the next request. hasOld and hasNew report whether
 // targets of the versions are known.
 func (r *rollout) choose(now clock.Millis, hasOld, hasNew bool) route.Version {
--- a/core/trial/request.go
+++ b/core/trial/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
@@ -9,8 +10,12 @@
 	"hickoryrail/core/route"
 )
 
-// slowFactor is the factor of the usual run time from which on an answer counts as bad.
-const slowFactor = 3
+const (
+	// slowFactor is the factor of the usual run time from which on an answer counts as bad.
+	slowFactor = 3
+	// maxTries is the number of attempts of a request that gates refuse.
+	maxTries = 3
+)
 
 // routeNames holds the names of the routes.
 var routeNames = [routeCount]ident.RouteName{"a", "b", "c"}
@@ -28,25 +33,26 @@
 
 // request sends a request of a random node to a target.
 func (f *Fleet) request() {
-	h := f.Nodes[f.rand.IntN(len(f.Nodes))]
+	f.try(f.Nodes[f.rand.IntN(len(f.Nodes))], maxTries)
+}
+
+// try makes an attempt, and further ones while gates refuse it.
+func (f *Fleet) try(h *Host, left int) {
 	if !f.runs(h) {
 		return
 	}
-	for range 3 { // a target whose gate refuses did not run the request
-		t, v := f.choose(h)
-		if t == nil {
-			f.Result.Refused++
-			return
-		}
-		if f.accepts(t) {
-			f.start(h, t, v)
-			return
-		}
+	t, v := f.choose(h)
+	switch {
+	case t == nil || left == 0:
+		f.Result.Refused++
+	case f.accepts(t):
+		f.start(h, t, v)
+	default:
 		if v == route.NewVersion {
 			h.Node.Refund(Service)
 		}
+		f.After(2*f.latency(), func() { f.try(h, left-1) })
 	}
-	f.Result.Refused++
 }
 
 // accepts reports whether the gate of a target takes a new call.
@@ -56,28 +62,16 @@
 
 // choose returns a target as a node chooses it: by version, and then at random.
 func (f *Fleet) choose(h *Host) (*Target, route.Version) {
-	var byVersion [2][]*Target
-	for i := range f.records {
-		r := &f.records[i]
-		if !r.Routable() {
-			continue
-		}
-		group := 0
-		if r.Software != "" {
-			group = 1
-		}
-		byVersion[group] = append(byVersion[group], f.Nodes[i].Target)
-	}
 	v := route.AnyVersion
-	if len(byVersion[1]) > 0 {
-		v = h.Node.Choose(f.Now, Service, len(byVersion[0]) > 0, true)
+	if len(f.byVersion[1]) > 0 {
+		v = h.Node.Choose(f.Now, Service, len(f.byVersion[0]) > 0, true)
 	}
-	list := byVersion[0]
+	list := f.byVersion[0]
 	switch v {
 	case route.NewVersion:
-		list = byVersion[1]
+		list = f.byVersion[1]
 	case route.AnyVersion:
-		list = append(list, byVersion[1]...)
+		list = slices.Concat(list, f.byVersion[1])
 	}
 	if len(list) == 0 {
 		return nil, v
@@ -110,7 +104,7 @@
 		factor *= 2
 	}
 	took := f.WorkMillis * clock.Millis(float64(1+name)*factor*(1+noise*(2*f.rand.Float64()-1)))
-	failed := f.rand.Float64() < fails
+	failed := f.rand.Float64() < fails || t.Broken
 	if failed {
 		took /= 4
 	}
