core/route, io/proxy, io/bench: balancing by expected time for targets that state their pace

Cause: machines are slow for some 600 ms at a time and differ in speed, and a node sees each target about once per second. The choice of two scores by a moving average of delays, and on the platform it takes a target for idle until it has no free slot.

Change: for services whose targets state their pace, the picker chooses the lowest expected time of up to eight candidates: run time at the usual pace, latest pace by age, and the expected wait from the last report, the own calls since then, and the occupancy of the service, which stands in for what other nodes send. A far target is dearer the larger the answers are. The ingress reads pace and slots from the answers of targets; calls between nodes are encoded as before.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -34,6 +34,8 @@
 		delay clock.Millis
 		// delays counts the delays of answered calls to all targets.
 		delays histogram
+		// balance is the state for the choice by expected time.
+		balance groupBalance
 	}
 
 	// endpoint holds the load-balancing state of one target.
@@ -81,6 +83,8 @@
 		// it stated that it leaves. A gate that restarts forgets such a statement, and
 		// the target may serve for many seconds more.
 		leavingUntil clock.Millis
+		// balance is the state for the choice by expected time.
+		balance balanceState
 	}
 )
 
@@ -90,6 +94,7 @@
 		e.noOutcomeSince = now
 	}
 	e.inFlight++
+	e.balance.sent++
 	e.pickedAt = now
 	return Choice{Target: e.target, Reason: reason}
 }
@@ -100,6 +105,7 @@
 func (e *endpoint) restart(now clock.Millis) {
 	e.delay, e.failureRate, e.hasLoad, e.consecutiveFailures = 0, 0, false, 0
 	e.slowStartAt, e.sampledAt, e.ejected = now, now, false
+	e.balance = balanceState{distanceFactor: e.balance.distanceFactor}
 }
 
 // recordSuccess adds an answered call to the moving averages.
--- a/core/route/limits.go
+++ b/core/route/limits.go
@@ -36,6 +36,8 @@
 	// LocalPair adds two candidates of this node's failure domain to the two
 	// random ones.
 	LocalPair bool
+	// Balance determines which services are balanced by expected time.
+	Balance BalanceMode
 }
 
 // DefaultLimits returns the defaults of all fields of Limits.
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -29,6 +29,8 @@
 	// ReasonSlowStart means that the candidate won because the other one is in slow
 	// start.
 	ReasonSlowStart = "other candidate is in slow start"
+	// ReasonExpected means that the candidate had the lowest expected time of a few.
+	ReasonExpected = "lowest expected time of the candidates"
 	// ReasonStale means that the candidate had no call for Limits.StaleMillis.
 	ReasonStale = "no recent call"
 	// ReasonNoTargets means that the service has no targets.
@@ -77,6 +79,10 @@
 		// Load is the gate's load report; valid if HasLoad.
 		Load    admit.Load
 		HasLoad bool
+		// Stated is what the target stated about itself.
+		Stated StatedLoad
+		// Bytes is the size of the answer.
+		Bytes ident.Bytes
 		// Leaving means that the target stated in its answer that it leaves.
 		Leaving bool
 		// Gate is the incarnation of the gate that the attempt was addressed to. The
@@ -152,6 +158,7 @@
 		}
 		e.target, e.group, e.present, e.leftAt = t, g, true, clock.Forever
 		e.distanceFactor = p.distanceFactor(t)
+		e.balance.distanceFactor = p.balanceFactor(e)
 		g.candidates = append(g.candidates, e)
 	}
 	p.limitEjected(now, g)
@@ -207,6 +214,10 @@
 	case 1:
 		return eligible[0].startCall(now, ReasonOnly), true
 	}
+	if p.balances(now, g) {
+		best, reason := p.pickBalanced(now, g, eligible[:n])
+		return best.startCall(now, reason), true
+	}
 	i, j := p.randomPair(n)
 	best, reason := p.better(now, g, eligible[i], eligible[j])
 	if p.Limits.LocalPair {
@@ -301,6 +312,7 @@
 	if o.HasLoad {
 		e.load, e.loadAt, e.hasLoad = o.Load, now, true
 	}
+	p.observeBalance(now, e, o, !o.Failed && o.Verdict != result.NotRun)
 	switch {
 	case o.Failed:
 		p.recordFailure(now, e, o)
--- a/io/bench/run.go
+++ b/io/bench/run.go
@@ -41,6 +41,9 @@
 	{"choice", "target choice against random choice and round robin, with faulty targets", func(quick bool) (*Table, error) {
 		return RouteChoice(size(quick, 200, RouteMillis)), nil
 	}},
+	{"balance", "policies of load balancing with targets of varying speed, with and without faults", func(quick bool) (*Table, error) {
+		return Balance(size(quick, 200, BalanceMillis), balancePolicies, balanceFaults, size(quick, 1, len(balanceFleets))), nil
+	}},
 	{"admission", "the gate against a queue without deadlines under overload", func(quick bool) (*Table, error) {
 		return Admission(size(quick, 1000, AdmitMillis)), nil
 	}},
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -130,7 +130,12 @@
 	} else {
 		o.Failed = failedAtTarget(resp)
 		o.Load, o.HasLoad = resp.Load, true
-		o.Leaving = in.Dialect.statesLeaving(resp)
+		o.Bytes = ident.Bytes(len(resp.Body))
+		n := in.Dialect.notice(resp)
+		o.Leaving = n.Leaving
+		if l, ok := n.Load.Get(); ok {
+			o.Stated = route.StatedLoad{Slots: l.Slots, Pace: l.Pace.Or(0)}
+		}
 	}
 	o.Verdict = resp.Verdict
 	if resp.Verdict != result.Ran {
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -102,10 +102,10 @@
 	return d.Unexecuted != nil && d.Unexecuted(status, header)
 }
 
-// statesLeaving reports whether a target stated in its answer that it leaves.
-func (d *Dialect) statesLeaving(resp *wire.Response) bool {
+// notice returns what a target stated about itself in its answer.
+func (d *Dialect) notice(resp *wire.Response) report.Notice {
 	if d.Notice == nil || resp.Verdict != result.Ran {
-		return false
+		return report.Notice{}
 	}
-	return d.Notice(resp.Headers.Get).Leaving
+	return d.Notice(resp.Headers.Get)
 }
