io/conf, io/proxy, io/bench: setting and metric of load balancing, cost of a choice

Cause: operators need a way to switch balancing by expected time, and to see which reason decided the choices of targets.

--- a/core/route/balance.go
+++ b/core/route/balance.go
@@ -15,6 +15,12 @@
 	BalanceOff
 )
 
+// Reasons of the events at which the way of choosing the targets of a service changes.
+const (
+	reasonPace   = "targets state their pace: chosen by expected time"
+	reasonNoPace = "targets state no pace any more: choice of two"
+)
+
 const (
 	// paceMillis is the time for which a machine keeps its pace. A stated pace loses its
 	// weight over this time.
@@ -65,6 +71,9 @@
 	farStaleFactor = 3
 )
 
+// balanceNames contains the name of each mode.
+var balanceNames = [...]string{"auto", "on", "off"}
+
 type (
 	// BalanceMode determines which services are balanced by expected time.
 	BalanceMode uint8
@@ -109,6 +118,8 @@
 		// pacedAt is the instant at which a target last stated a pace; valid if paced.
 		pacedAt clock.Millis
 		paced   bool
+		// active is set while the service is balanced because of the paces.
+		active bool
 		// run is the moving average of the run times at the average pace; 0 before the
 		// first answer.
 		run clock.Millis
@@ -123,15 +134,35 @@
 	}
 )
 
+// ParseBalance returns the mode with the given name: auto, on or off.
+func ParseBalance(name string) (BalanceMode, bool) {
+	for i, n := range balanceNames {
+		if n == name {
+			return BalanceMode(i), true
+		}
+	}
+	return BalanceAuto, false
+}
+
 // balances reports whether a service is balanced by expected time.
 func (p *Picker) balances(now clock.Millis, g *group) bool {
-	switch p.Limits.Balance {
-	case BalanceOn:
+	b := &g.balance
+	switch {
+	case p.Limits.Balance == BalanceOn:
 		return true
-	case BalanceOff:
+	case p.Limits.Balance == BalanceOff || !b.paced:
 		return false
 	}
-	return g.balance.paced && now-g.balance.pacedAt < paceKnownMillis
+	active := now-b.pacedAt < paceKnownMillis
+	if active != b.active {
+		b.active = active
+		reason := reasonNoPace
+		if active {
+			reason = reasonPace
+		}
+		p.storeEvent(Event{At: now, Service: g.name, Reason: reason})
+	}
+	return active
 }
 
 // observeBalance records an outcome of the present incarnation of a target's gate.
--- a/core/route/balance_test.go
+++ b/core/route/balance_test.go
@@ -133,3 +133,25 @@
 		is.Equal(h.Sum64(), uint64(picksBefore))
 	}
 }
+
+// TestBalanceEvents guards against a change of the way of choosing that leaves no trace in
+// the log, and against an event for every pick.
+func TestBalanceEvents(t *testing.T) {
+	is := is.New(t)
+	p := newBalancePicker(BalanceAuto, 8)
+	var reasons []string
+	pick := func(now clock.Millis) {
+		_, _ = p.Pick(now, "s", nil)
+		for _, e := range p.Events(nil) {
+			is.Equal(e.Service, ident.ServiceName("s"))
+			is.Equal(e.Target, ident.TargetID(""))
+			reasons = append(reasons, e.Reason)
+		}
+	}
+	pick(1)
+	report(p, 2, 8)
+	pick(3)
+	pick(4)
+	pick(4 + paceKnownMillis)
+	is.Equal(reasons, []string{reasonPace, reasonNoPace})
+}
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -91,8 +91,8 @@
 		Gate ident.Incarnation
 	}
 
-	// Event is the start or the end of an ejection, or the exclusion of a target that
-	// leaves.
+	// Event is the start or the end of an ejection, the exclusion of a target that leaves,
+	// or, without a target, a change of the way of choosing the targets of a service.
 	Event struct {
 		At      clock.Millis
 		Service ident.ServiceName
--- a/io/bench/balance.go
+++ b/io/bench/balance.go
@@ -67,6 +67,7 @@
 		// hop is the one-way delay between two nodes.
 		hop    clock.Millis
 		routes []balanceRoute
+		large  bool
 	}
 
 	// balanceResult holds the outcomes of a run.
@@ -83,11 +84,11 @@
 // balanceFleets are the two deployments of section 1 of docs/busy-fleets.md, and the
 // first of them at the size of 790 nodes.
 var balanceFleets = []balanceFleet{
-	{"donations, 78 nodes", 3, 3.4, donations(1)},
+	{"donations, 78 nodes", 3, 3.4, donations(1), false},
 	{"clinics, 61 nodes", 4, 0.9, []balanceRoute{
 		{27, 910, 290, 800, 6000, 2}, {24, 494, 380, 1000, 6000, 2}, {6, 115, 230, 2000, 6000, 90}, {4, 336, 120, 500, 3000, 2},
-	}},
-	{"donations, 790 nodes", 3, 3.4, donations(790.0 / 78)},
+	}, false},
+	{"donations, 790 nodes", 3, 3.4, donations(790.0 / 78), true},
 }
 
 // donations returns the routes of the donations, scaled.
@@ -104,16 +105,13 @@
 
 // Balance compares policies of load balancing in virtual time, with the same arrivals,
 // works and paces for all of them.
-func Balance(duration clock.Millis, policies, faults []string, fleets int) *Table {
+func Balance(duration clock.Millis, policies, faults []string, fleets []balanceFleet) *Table {
 	t := NewTable(fmt.Sprintf("load balancing, %s virtual, seed %d", duration, balanceSeed),
 		"deployment", "demand", "fault", "policy", "calls", "in goal %", "late %", "refused %", "lost %", "p50 ms", "p99 ms",
 		"attempts per call", "far answers %", "far KB per call", "probes per call")
-	for _, f := range balanceFleets[:fleets] {
+	for _, f := range fleets {
 		for _, fault := range faults {
-			for _, demand := range []float64{1, 1.5} {
-				if fault != balanceNoFault && demand != 1 {
-					continue
-				}
+			for _, demand := range balanceDemands(f, fault) {
 				for _, policy := range policies {
 					r := newBalanceSimulation(f, policy, fault, demand, duration)
 					r.runAll()
@@ -125,6 +123,18 @@
 	return t
 }
 
+// balanceDemands returns the factors of the demand that are compared. A large fleet takes
+// ten times as long to simulate, and is not simulated with faults.
+func balanceDemands(f balanceFleet, fault string) []float64 {
+	switch {
+	case fault == balanceNoFault:
+		return []float64{1, 1.5}
+	case f.large:
+		return nil
+	}
+	return []float64{1}
+}
+
 // addRow adds the row of a run to the table.
 func (r *balanceSimulation) addRow(t *Table) {
 	o := &r.result
--- a/io/bench/cost.go
+++ b/io/bench/cost.go
@@ -55,6 +55,16 @@
 	}
 	t.addCost("choose", runs, func(i int) { choose(i, nil) })
 	t.addCost("choose, two targets excluded", runs, func(i int) { choose(i, exclude) })
+	paced := &route.Picker{
+		Self: "node-0", FailureDomain: domainName(0), Region: "one", Rand: rand.New(rand.NewPCG(routeSeed, 3)),
+		Limits: route.Limits{Balance: route.BalanceOn},
+	}
+	paced.SetView(0, v)
+	t.addCost("choose by expected time", runs, func(i int) {
+		now := clock.Millis(i)
+		c, _ := paced.Pick(now, serviceName, nil)
+		paced.Done(now, c.Target.ID, route.Outcome{Delay: 3, Verdict: result.Ran, HasLoad: true, Stated: route.StatedLoad{Slots: 6, Pace: 1}})
+	})
 	var sink logs.Sink = &ringSink{}
 	t.addCost("choose and record", runs, func(i int) {
 		c := choose(i, nil)
--- a/io/bench/run.go
+++ b/io/bench/run.go
@@ -42,7 +42,7 @@
 		return RouteChoice(size(quick, 200, RouteMillis)), nil
 	}},
 	{"balance", "policies of load balancing with targets of varying speed, with and without faults", func(quick bool) (*Table, error) {
-		return Balance(size(quick, 200, BalanceMillis), balancePolicies, balanceFaults, size(quick, 1, len(balanceFleets))), nil
+		return Balance(size(quick, 200, BalanceMillis), balancePolicies, balanceFaults, size(quick, balanceFleets[:1], balanceFleets)), nil
 	}},
 	{"admission", "the gate against a queue without deadlines under overload", func(quick bool) (*Table, error) {
 		return Admission(size(quick, 1000, AdmitMillis)), nil
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -7,6 +7,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/route"
 	"hickoryrail/io/logs"
 )
 
@@ -44,8 +45,10 @@
 		// PlatformBounds are limits that the platform imposes, as entries
 		// "name=value" that the package platform parses.
 		PlatformBounds []string
-		Seeds          []Seed
-		KeyDirectory   string
+		// Balance determines the services whose targets are chosen by expected time.
+		Balance      route.BalanceMode
+		Seeds        []Seed
+		KeyDirectory string
 
 		Limits Limits
 		Spread Spread
--- a/io/conf/table.go
+++ b/io/conf/table.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/route"
 	"hickoryrail/core/stall"
 	"hickoryrail/io/logs"
 )
@@ -96,6 +97,10 @@
 		Key: "PlatformBounds", Kind: List, Allowed: `entries "name=value"`,
 		Help: "Bounds of the platform, for the package platform.", set: setBounds,
 	},
+	{
+		Key: "Balance", Kind: Text, Default: "auto", Allowed: "auto, on, off",
+		Help: "Services whose targets are chosen by expected time: auto for those whose targets state their pace, on for all, off for none.", set: setBalance,
+	},
 	{
 		Key: "Seeds", Kind: List, Allowed: `entries "NodeID@IP:port"`,
 		Help: "Members that the node contacts first; empty only for the first node of a fleet.", set: setSeeds,
@@ -194,6 +199,15 @@
 	}
 }
 
+// setBalance stores the mode of load balancing.
+func setBalance(s *Settings, v value) bool {
+	mode, ok := route.ParseBalance(v.text)
+	if ok {
+		s.Balance = mode
+	}
+	return ok
+}
+
 // setBounds stores the bounds of the platform.
 func setBounds(s *Settings, v value) bool {
 	for _, entry := range v.list {
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -176,7 +176,7 @@
 	n.wireProxy(random)
 	n.ingress.Policy = &retry.Policy{WindowBudget: &h.Retries, RetryFailures: true, Rand: splitRandom(random)}
 	n.ingress.Picker.Limits = route.Limits{
-		DomainFactor: hostedDomainFactor, LocalPair: true, StaleMillis: hostedStaleMillis,
+		DomainFactor: hostedDomainFactor, LocalPair: true, StaleMillis: hostedStaleMillis, Balance: h.Settings.Balance,
 	}
 	n.ingress.FailFast = &route.FailFastPolicy{}
 	n.ingress.LingerMillis = hostedLingerMillis
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -184,7 +184,7 @@
 	n.stallMonitor = newStallMonitor(n.clock, s.Stall.ProbeMillis, s.Stall.GiveUpMillis, n.decisions)
 	n.ingress = &proxy.Ingress{
 		Self: s.Node, Listen: s.CallerAddress, Clock: n.clock, Gateway: n.gateway,
-		Picker: &route.Picker{Self: s.Node, FailureDomain: s.FailureDomain, Region: s.Region, Rand: splitRandom(random)},
+		Picker: &route.Picker{Self: s.Node, FailureDomain: s.FailureDomain, Region: s.Region, Rand: splitRandom(random), Limits: route.Limits{Balance: s.Balance}},
 		Policy: &retry.Policy{Budget: &retry.Budget{}, Rand: splitRandom(random)},
 		Limits: limits, Log: n.decisions, Registry: n.registry,
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -67,6 +67,7 @@
 	ok := d.Kind == retry.Hedge
 	if ok {
 		choice, ok = in.Picker.Pick(now, c.route.Service, c.tried)
+		in.metrics.picks.count(choice)
 	}
 	in.mu.Unlock()
 	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -140,6 +140,7 @@
 	if !ok && len(c.tried) > 0 {
 		choice, ok = in.Picker.Pick(now, c.route.Service, nil)
 	}
+	in.metrics.picks.count(choice)
 	in.recordEjections()
 	in.mu.Unlock()
 	v := result.MayHaveRun
@@ -212,8 +213,12 @@
 func (in *Ingress) recordEjections() {
 	in.events = in.Picker.Events(in.events[:0])
 	for _, e := range in.events {
+		kind := logs.Eject
+		if e.Target == "" {
+			kind = logs.Route
+		}
 		in.Log.Record(logs.Decision{
-			At: e.At, Kind: logs.Eject, Service: e.Service, Target: e.Target, Node: in.Self, Reason: e.Reason,
+			At: e.At, Kind: kind, Service: e.Service, Target: e.Target, Node: in.Self, Reason: e.Reason,
 		})
 	}
 }
--- a/io/proxy/ingressmetrics.go
+++ b/io/proxy/ingressmetrics.go
@@ -16,6 +16,7 @@
 	voids    prometheus.Counter
 	refused  prometheus.Counter
 	left     leftCounters
+	picks    pickCounters
 	delay    prometheus.Histogram
 }
 
@@ -33,5 +34,7 @@
 	m.delay = stats.Histogram("ingress_delay_seconds", "Time from a whole request to its answer.", delayBuckets)
 	left, leftCollector := newLeftCounters("ingress_caller_left_total")
 	m.left = left
-	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, m.delay)
+	picks, pickCollector := newPickCounters()
+	m.picks = picks
+	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, pickCollector, m.delay)
 }
