--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -67,6 +67,7 @@
 	ok := d.Kind == retry.Hedge
 	if ok {
 		choice, ok = in.chooseTarget(now, c.route.Service, c.tried)
+		in.metrics.picks.count(choice)
 	}
 	in.mu.Unlock()
 	in.record(logs.Retry, now, c, number, choice.Target.ID, result.MayHaveRun, d.Reason)
@@ -130,7 +131,12 @@
 	} else {
 		o.Failed = failedAtTarget(resp)
 		o.Load, o.HasLoad = resp.Load, true
-		o.Leaving = in.Dialect.statesLeaving(resp)
+		o.Bytes = ident.Bytes(len(resp.Body))
+		n := in.Dialect.notice(resp)
+		o.Leaving = n.Leaving
+		if l, ok := n.Load.Get(); ok {
+			o.Stated = route.StatedLoad{Slots: l.Slots, Pace: l.Pace.Or(0)}
+		}
 	}
 	o.Verdict = resp.Verdict
 	in.recordSample(c, choice, resp, err, now-sent)
--- a/io/proxy/ingressmetrics.go
+++ b/io/proxy/ingressmetrics.go
@@ -18,6 +18,7 @@
 	left     leftCounters
 	// rejected holds the counter of each reason in rejectionLabels.
 	rejected map[string]prometheus.Counter
+	picks    pickCounters
 	delay    prometheus.Histogram
 }
 
@@ -40,5 +41,7 @@
 	for reason, label := range rejectionLabels {
 		m.rejected[reason] = rejected.WithLabelValues(label)
 	}
-	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, rejected, m.delay)
+	picks, pickCollector := newPickCounters()
+	m.picks = picks
+	return stats.Register(r, verdicts, m.attempts, m.retries, m.hedges, m.voids, m.refused, leftCollector, rejected, pickCollector, m.delay)
 }
