io/proxy, core/route: callers of services whose targets state their pace return after the burst

Cause: only configurations with teams named a delay for refused callers. Change: services whose targets state their pace do too (Picker.StatesPace).

--- a/core/route/balance.go
+++ b/core/route/balance.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/ident"
 )
 
 const (
@@ -165,6 +166,13 @@
 	return active
 }
 
+// StatesPace reports whether targets of a service have stated their pace within
+// paceKnownMillis.
+func (p *Picker) StatesPace(now clock.Millis, service ident.ServiceName) bool {
+	g := p.services[service]
+	return g != nil && g.balance.paced && now-g.balance.pacedAt < paceKnownMillis
+}
+
 // observeBalance records an outcome of the present incarnation of a target's gate.
 func (p *Picker) observeBalance(now clock.Millis, e *endpoint, o Outcome, answered bool) {
 	b, g := &e.balance, &e.group.balance
--- a/io/proxy/return.go
+++ b/io/proxy/return.go
@@ -15,15 +15,16 @@
 }
 
 // nameReturn sets the time after which the caller of a call that was refused for lack of room
-// may return, if the configuration has teams.
+// may return, if the configuration has teams or the targets of the service state their pace.
 func (in *Ingress) nameReturn(c *call, resp *wire.Response) {
-	if in.Returns == nil || !c.view.HasTeams() {
+	if in.Returns == nil {
 		return
 	}
 	now := in.Clock.Now()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	switch {
+	case !c.view.HasTeams() && !in.Picker.StatesPace(now, c.route.Service):
 	case resp.Verdict != result.NotRun:
 		in.Returns.Admitted(now, c.route.Service)
 	case noRoomReasons[resp.Reason]:
--- a/io/proxy/return_test.go
+++ b/io/proxy/return_test.go
@@ -10,8 +10,12 @@
 	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
+	"hickoryrail/core/model"
 	"hickoryrail/core/result"
 	"hickoryrail/core/retry"
+	"hickoryrail/core/route"
+	"hickoryrail/core/view"
 	"hickoryrail/io/wire"
 )
 
@@ -22,6 +26,7 @@
 	is := is.New(t)
 	in := newTeamIngress(t, teamRules())
 	in.Returns = &retry.Returns{Rand: rand.New(rand.NewPCG(1, 2))}
+	in.Picker = &route.Picker{Self: "n", FailureDomain: "a", Region: "r", Rand: rand.New(rand.NewPCG(1, 2))}
 	refuse := func(rules *call, reason string) clock.Millis {
 		resp := notRun(reason)
 		in.nameReturn(rules, resp)
@@ -39,6 +44,22 @@
 	in.nameReturn(c, &wire.Response{Verdict: result.Ran}) // counts an answer
 	c.view = viewOf(t, 2, configuration(4))
 	is.Equal(refuse(c, admit.ReasonGoal), clock.Millis(0)) // no teams
+	pace(t, in.Clock.Now(), in.Picker, c)
+	is.True(refuse(c, admit.ReasonGoal) > 500) // targets that state their pace
+}
+
+// pace makes the picker hear the pace of a target of a call's service.
+func pace(t *testing.T, now clock.Millis, p *route.Picker, c *call) {
+	t.Helper()
+	r, err := model.NewRelease(3, "e", configuration(4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.SetView(now, view.Build(r, []member.Record{{Node: "n", Service: "shop", Target: "t", TargetState: member.Ready, GateIncarnation: 1}}))
+	if _, ok := p.Pick(now, c.route.Service, nil); !ok {
+		t.Fatal("no target")
+	}
+	p.Done(now, "t", route.Outcome{Delay: 10, Verdict: result.Ran, Stated: route.StatedLoad{Slots: 4, Pace: 1}, Gate: 1})
 }
 
 // TestGateTeams guards against a gate that does not learn the teams of its calls, and against
