core/grant: a failed coordinator is asked again for teams that report nothing

Since requests to a failed coordinator are no longer reported as arrivals, a team whose requests the safe part refused had nothing to report, so no Request was sent and the coordinator counted as failed for good. A Request without entries also changed the state of the link. Both are mended.

TestSmallTeamRecovers fails before and passes now; all tests of core/grant pass.

--- a/core/grant/agent_test.go
+++ b/core/grant/agent_test.go
@@ -173,6 +173,24 @@
 	is.Equal(f.take(t, i, l).Outcome, Admitted)
 }
 
+// TestSmallTeamRecovers guards against a small team, whose requests the safe part refuses,
+// that goes on to be refused when the coordinator answers again.
+func TestSmallTeamRecovers(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(16)
+	l := Limits{Rate: 1, Burst: 3}
+	i := f.other(testTeam)
+	f.cut[nodeName(i)] = true
+	for range 5 {
+		f.take(t, i, l)
+		f.run(probeMillis, nil)
+	}
+	f.cut = nil
+	f.agents[i].Take(f.now, testTeam, l)
+	f.run(50*clock.Millis(1), nil)
+	is.Equal(f.take(t, i, l).Outcome, Admitted)
+}
+
 // TestSafeParts guards against nodes that together exceed the cap when none reaches the
 // coordinator.
 func TestSafeParts(t *testing.T) {
--- a/core/grant/link.go
+++ b/core/grant/link.go
@@ -75,7 +75,8 @@
 }
 
 // ask returns the next Request. It reports the teams that need tokens and those that have
-// something to report.
+// something to report; to a failed coordinator also those in use, so that it is noticed when
+// it answers again. Without any team, nothing is to be sent.
 func (l *link) ask(now clock.Millis) Message {
 	m := Message{Kind: Request}
 	l.asked = l.asked[:0]
@@ -85,7 +86,8 @@
 		}
 		u.lapse(now)
 		closing := len(u.waiters) == 0 && u.quiet(now)
-		if len(u.waiters) == 0 && !closing && (now < u.holdUntil || !u.reports()) {
+		probe := l.failed && now-u.takenAt < probeMillis
+		if len(u.waiters) == 0 && !closing && !probe && (now < u.holdUntil || !u.reports()) {
 			continue
 		}
 		a := Ask{
@@ -101,6 +103,9 @@
 		l.asked = append(l.asked, reported{usage: u, used: u.used, safe: u.safe, arrived: u.arrived})
 		m.Asks = append(m.Asks, a)
 	}
+	if len(m.Asks) == 0 {
+		return m
+	}
 	l.sequence++
 	m.Sequence = l.sequence
 	l.inFlight, l.sentAt = true, now
--- a/core/grant/node.go
+++ b/core/grant/node.go
@@ -168,7 +168,6 @@
 	}
 	m := l.ask(now)
 	if len(m.Asks) == 0 {
-		l.inFlight = false
 		return
 	}
 	m.Run, m.Version = n.run, n.version
