--- a/core/grant/agent_test.go
+++ b/core/grant/agent_test.go
@@ -173,6 +173,24 @@
 	is.Equal(f.take(t, i, l).Outcome, Admitted)
 }
 
+// TestSmallTeamRecovers guards against a small team, whose requests the safe part refuses,
+// that goes on to be refused when the coordinator answers again.
+func TestSmallTeamRecovers(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(16)
+	l := Limits{Rate: 1, Burst: 3}
+	i := f.other(testTeam)
+	f.cut[nodeName(i)] = true
+	for range 5 {
+		f.take(t, i, l)
+		f.run(probeMillis, nil)
+	}
+	f.cut = nil
+	f.agents[i].Take(f.now, testTeam, l)
+	f.run(50*clock.Millis(1), nil)
+	is.Equal(f.take(t, i, l).Outcome, Admitted)
+}
+
 // TestSafeParts guards against nodes that together exceed the cap when none reaches the
 // coordinator.
 func TestSafeParts(t *testing.T) {
@@ -260,6 +278,27 @@
 	is.True(a.coordinator.pools[testTeam].stock < 50)
 }
 
+// TestHealedFleet guards against a coordinator that hands out the stock of the smaller part of
+// a divided fleet, when another has handed out that of the larger part.
+func TestHealedFleet(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(5)
+	l := Limits{Rate: 100, Burst: 100}
+	coordinator := f.coordinator(testTeam)
+	f.load(clock.Second, l, map[int]float64{f.other(testTeam): 20})
+	a := f.agents[coordinator]
+	all := make([]Member, 0, len(f.agents))
+	for i := range f.agents {
+		all = append(all, Member{Node: nodeName(i)})
+	}
+	own := Member{Node: nodeName(coordinator)}
+	a.SetMembers(f.now, []Member{own}, len(f.agents))
+	is.True(a.Coordinates(testTeam))
+	a.SetMembers(f.now, all, len(f.agents))
+	is.True(!a.Coordinates(testTeam))
+	is.Equal(a.members.startedAt, f.now)
+}
+
 // TestLoweredCap guards against tokens of an earlier, higher cap.
 func TestLoweredCap(t *testing.T) {
 	is := is.New(t)
