core/trial: tests of an order after its outcome and of a store that is away at the deadline

Cause: docs/design/rollouts.md states both, and no test showed them. Change: TestOrderedAgain, TestStoreAwayAtDeadline.

--- a/core/trial/order_test.go
+++ b/core/trial/order_test.go
@@ -253,3 +253,40 @@
 		}
 	}
 }
+
+// TestOrderedAgain guards against an outcome that changes when the same version is ordered
+// again after it.
+func TestOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	o := options(10)
+	o.NewFails = constant(0.5)
+	f := rollOut(o, nil)
+	is.Equal(f.Store.Status().Phase, canary.RolledBack)
+	writes, sent := len(f.Store.History), f.Result.LastNewAt
+	f.Order(New, testDuration)
+	f.Run(testDuration)
+	is.Equal(len(f.Store.History), writes)
+	is.True(f.Result.LastNewAt == sent || f.Result.LastNewAt == 0)
+}
+
+// TestStoreAwayAtDeadline guards against a rollout without an outcome, against one that is
+// completed after its deadline, and against a share that grows while the store is away until
+// after the deadline.
+func TestStoreAwayAtDeadline(t *testing.T) {
+	is := is.New(t)
+	for _, at := range []clock.Millis{0, 5000, 10_800, 11_800, 13_000} {
+		f := NewFleet(options(11))
+		f.Run(warmUp)
+		f.Order(New, testDuration)
+		f.Run(at)
+		f.Store.Down = true
+		f.Run(testDuration + 2*clock.Second - at)
+		if at <= 5000 {
+			checkExposure(t, f)
+		}
+		f.Store.Down = false
+		f.Run(10 * clock.Second)
+		checkHistory(t, f)
+		is.Equal(f.Store.Status().Phase, canary.RolledBack)
+	}
+}
