core/route, io/bench: calls that end without a report do not count as load

Cause: a call whose caller left ends without a report, but still counted as a call at the target until the next report, and its delay counted as a run time.

Change: the picks since the last report count at most as far as they are in flight; run times come from answers only, and only a refusal counts as one. The comparison has targets that name a limit.

--- a/core/route/balance.go
+++ b/core/route/balance.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/result"
 )
 
 const (
@@ -108,7 +109,8 @@
 		occupied float64
 		reportAt clock.Millis
 		reported bool
-		// sent counts the picks since the last report.
+		// sent counts the picks since the last report; those that have ended since
+		// without one do not count.
 		sent int
 	}
 
@@ -166,7 +168,7 @@
 }
 
 // observeBalance records an outcome of the present incarnation of a target's gate.
-func (p *Picker) observeBalance(now clock.Millis, e *endpoint, o Outcome, answered bool) {
+func (p *Picker) observeBalance(now clock.Millis, e *endpoint, o Outcome) {
 	b, g := &e.balance, &e.group.balance
 	if o.Stated.Slots > 0 {
 		b.slots = min(o.Stated.Slots, maxStatedSlots)
@@ -182,7 +184,7 @@
 		}
 		slots := e.slots()
 		b.occupied = max(slots-float64(o.Load.Free), 0) + float64(max(o.Load.Queued, 0))
-		if !answered {
+		if o.Verdict == result.NotRun {
 			b.occupied = max(b.occupied, slots*(1+refusedShare))
 		}
 		b.reportAt, b.reported, b.sent = now, true, 0
@@ -190,7 +192,7 @@
 		g.occupancy += float64(gap/(gap+occupancyMillis)) * (min(b.occupied/slots, 1+refusedShare) - g.occupancy)
 		g.occupancyAt = now
 	}
-	if answered {
+	if o.Verdict == result.Ran && !o.Failed {
 		g.answerBytes += (float64(o.Bytes) - g.answerBytes) / 32
 		b.observeRun(now, e, o)
 	}
@@ -278,7 +280,7 @@
 		occupied += kept * (b.occupied - usual)
 	}
 	variance := 1 + usual*(1-kept*kept)
-	over := occupied + float64(b.sent) + 1 - slots
+	over := occupied + float64(min(b.sent, e.inFlight)) + 1 - slots
 	wait := (over + math.Sqrt(over*over+overflowSpread*variance)) / 2 / slots
 	freshness := ageWeight(now-e.sampledAt, p.Limits.IdleMillis)
 	return run * (1 + waitFactor*wait) * (1 + failurePenalty*freshness*e.failureRate)
--- a/core/route/balancefault_test.go
+++ b/core/route/balancefault_test.go
@@ -240,3 +240,18 @@
 		answer(p, now, c.Target.ID, balanceRun, 9, 1)
 	}), 0.0)
 }
+
+// TestCallsWithoutReport replays calls that end without a report because their callers left
+// or the connection was lost, and guards against a target that gets no calls any more
+// because they still count, and against run times that they change.
+func TestCallsWithoutReport(t *testing.T) {
+	is := is.New(t)
+	p, now := readyPicker(BalanceAuto)
+	run := p.targets["t02"].balance.run
+	for range 100 {
+		p.targets["t02"].startCall(now, ReasonOnly)
+		p.Done(now, "t02", Outcome{Delay: 1, Verdict: result.MayHaveRun})
+	}
+	is.Equal(p.targets["t02"].balance.run, run)
+	is.True(shareOf(p, now, "t02", 1000) > 0.3*fairShare)
+}
--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -312,7 +312,7 @@
 	if o.HasLoad {
 		e.load, e.loadAt, e.hasLoad = o.Load, now, true
 	}
-	p.observeBalance(now, e, o, !o.Failed && o.Verdict != result.NotRun)
+	p.observeBalance(now, e, o)
 	switch {
 	case o.Failed:
 		p.recordFailure(now, e, o)
--- a/io/bench/balance.go
+++ b/io/bench/balance.go
@@ -28,6 +28,8 @@
 	burstMillis = 2 * clock.Second
 	burstEvery  = 9 * clock.Second
 	burstFactor = 1.5
+	// balanceLimited is the limit in requests per second of a target that names one.
+	balanceLimited = 10.0
 	// callerRetryMillis is the time after which a refused caller retries once.
 	callerRetryMillis = 100 * clock.Millis(1)
 )
@@ -43,6 +45,9 @@
 	balanceCold = "cold targets join"
 	// balanceHang are targets that answer nothing in the second third of the run.
 	balanceHang = "targets hang"
+	// balanceLimit are targets that name a limit in the second third of the run, a third
+	// to a half of what they got before.
+	balanceLimit = "targets name a limit"
 	// balanceRestart is a restart of all nodes in the middle of the run.
 	balanceRestart = "all nodes restart"
 	// balanceNoPace are targets that state no pace.
@@ -104,7 +109,7 @@
 }
 
 // Balance compares policies of load balancing in virtual time, with the same arrivals,
-// works and paces for all of them.
+// works and paces for all of them. A large fleet is simulated for half of the time.
 func Balance(duration clock.Millis, policies, faults []string, fleets []balanceFleet) *Table {
 	t := NewTable(fmt.Sprintf("load balancing, %s virtual, seed %d", duration, balanceSeed),
 		"deployment", "demand", "fault", "policy", "calls", "in goal %", "late %", "refused %", "lost %", "p50 ms", "p99 ms",
@@ -113,7 +118,11 @@
 		for _, fault := range faults {
 			for _, demand := range balanceDemands(f, fault) {
 				for _, policy := range policies {
-					r := newBalanceSimulation(f, policy, fault, demand, duration)
+					length := duration
+					if f.large {
+						length /= 2
+					}
+					r := newBalanceSimulation(f, policy, fault, demand, length)
 					r.runAll()
 					r.addRow(t)
 				}
--- a/io/bench/balancepolicy.go
+++ b/io/bench/balancepolicy.go
@@ -28,7 +28,7 @@
 	// balancePolicies are the policies of the table.
 	balancePolicies = []string{policyToday, policyEstimate, policyCapacity, policyIdle, policyPrequal, policyNamed, policyExpected}
 	// balanceFaults are the faults of the table.
-	balanceFaults = []string{balanceNoFault, balanceFalse, balanceCold, balanceHang, balanceRestart, balanceNoPace}
+	balanceFaults = []string{balanceNoFault, balanceFalse, balanceCold, balanceHang, balanceLimit, balanceRestart, balanceNoPace}
 )
 
 type (
--- a/io/bench/balancesim.go
+++ b/io/bench/balancesim.go
@@ -11,6 +11,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
+	"hickoryrail/core/option"
 	"hickoryrail/core/result"
 	"hickoryrail/core/route"
 	"hickoryrail/core/view"
@@ -274,7 +275,11 @@
 			if pace := r.stated(t); pace > 0 {
 				t.gate.SetPace(r.now, pace)
 			}
-			actions := slices.Clone(t.gate.Finish(r.now, a.ID, r.now-started))
+			var actions []admit.Action
+			if r.fault == balanceLimit && t.faulty {
+				actions = slices.Clone(t.gate.SetLimit(r.now, started, r.limit()))
+			}
+			actions = append(actions, t.gate.Finish(r.now, a.ID, r.now-started)...)
 			r.reply(attempt, second, result.Ran, "")
 			r.apply(t, second, actions)
 		})
@@ -290,6 +295,14 @@
 	}
 }
 
+// limit returns the limit of requests per second that a target in need states.
+func (r *balanceSimulation) limit() option.Option[float64] {
+	if r.now < r.duration/3 || r.now >= 2*r.duration/3 {
+		return option.None[float64]()
+	}
+	return option.Some(balanceLimited)
+}
+
 // paceOf returns the pace of a target in the period of an instant.
 func (t *balanceTarget) paceOf(now clock.Millis) float64 {
 	return t.paces[min(int(now/paceMillis), len(t.paces)-1)]
