core/route: a call in flight counts with its whole age in the expected time

Cause: in the comparison, calls still went to targets that hang, whose calls in flight counted with half of their age.

Change: expectedTime takes the whole age; the score of the choice of two is unchanged.

--- a/core/route/balance.go
+++ b/core/route/balance.go
@@ -268,7 +268,9 @@
 	}
 	run *= b.relativePace(now, clock.Millis(run))
 	if e.inFlight > 0 {
-		run = max(run, float64(now-e.noOutcomeSince)/2)
+		// A call in flight takes at least its age. With half of it, as in score, more calls
+		// went to targets that hang.
+		run = max(run, float64(now-e.noOutcomeSince))
 	}
 	slots := e.slots()
 	// The calls at the target at the time of the report end within a run time, and the
