core/admit: large answers keep a quarter of the link's rate

Cause: bytes that are counted but do not wait could exceed the rate, for example because its setting is too low, and large answers were then never sent.

--- a/core/admit/pacer.go
+++ b/core/admit/pacer.go
@@ -17,6 +17,11 @@
 	// aheadMillis is how far the pieces that may be sent run ahead of the link, so that it
 	// is not idle while a timer is late.
 	aheadMillis = 10 * clock.Millis(1)
+	// largeShare is the share of the rate that large answers have at least, and maxDebtMillis
+	// bounds how long they make up for other bytes. Without them, large answers would not be
+	// sent at all while the others exceed the rate, for example because its setting is wrong.
+	largeShare    = 0.25
+	maxDebtMillis = 1 * clock.Second
 )
 
 type (
@@ -32,6 +37,8 @@
 		measured linkRate
 		// busyUntil is the instant at which the link has sent all that was written.
 		busyUntil clock.Millis
+		// grantedAt is the instant of the last grant.
+		grantedAt clock.Millis
 		// asking holds the turns that ask for a piece, in the order of Begin.
 		asking []*Turn
 		// begun counts the turns, and backlog is the sum of what they have not sent.
@@ -67,8 +74,9 @@
 // Grant returns the turns whose next piece may be written now, in order.
 func (p *Pacer) Grant(now clock.Millis) []*Turn {
 	n := 0
-	for n < len(p.asking) && p.busyUntil <= now+aheadMillis {
+	for n < len(p.asking) && p.due(p.asking[n]) <= now {
 		t := p.asking[n]
+		p.grantedAt = now
 		p.Sent(now, t.wanted)
 		t.left -= t.wanted
 		p.backlog -= t.wanted
@@ -82,7 +90,13 @@
 
 // Sent records n bytes that are written, whether they needed a grant or not.
 func (p *Pacer) Sent(now clock.Millis, n ident.Bytes) {
-	p.busyUntil = max(p.busyUntil, now) + clock.Millis(float64(n)/p.Rate())
+	p.busyUntil = min(max(p.busyUntil, now)+clock.Millis(float64(n)/p.Rate()), now+maxDebtMillis)
+}
+
+// due returns the instant at which the next piece of a turn may be written if no other one
+// goes before it.
+func (p *Pacer) due(t *Turn) clock.Millis {
+	return min(p.busyUntil-aheadMillis, p.grantedAt+clock.Millis(float64(t.wanted)/(largeShare*p.Rate())))
 }
 
 // End ends a turn, also before all of its answer was sent.
@@ -97,7 +111,7 @@
 	if len(p.asking) == 0 {
 		return clock.Forever
 	}
-	return p.busyUntil - aheadMillis
+	return p.due(p.asking[0])
 }
 
 // Backlog returns the bytes of answers that have not been granted yet.
