--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -119,8 +119,7 @@
 		if w.clock.Now()-w.started >= w.startSourceMillis {
 			w.floorFromPeers()
 		}
-		w.awaitRead(ctx)
-		if !w.freshness.substitutes() { // else the next call is a wait, whose answer is small
+		if w.awaitRead(ctx) || !w.freshness.substitutes() {
 			w.follower.RequireRead()
 		}
 	}
@@ -154,18 +153,20 @@
 
 // awaitRead waits until the node has to read the source: because it now has to wait for
 // changes, because its neighbours cannot provide a release, or because
-// maxReadIntervalMillis, reduced at random by up to half, have passed.
-func (w *watcher) awaitRead(ctx context.Context) {
+// maxReadIntervalMillis, reduced at random by up to half, have passed. It returns true if a
+// read was requested.
+func (w *watcher) awaitRead(ctx context.Context) bool {
 	until := w.clock.Now() + maxReadIntervalMillis*clock.Millis(0.5+w.random.Float64()/2)
 	for w.role() == feed.Reader && w.clock.Now() < until && ctx.Err() == nil {
 		select {
 		case <-w.readRequest:
-			return
+			return true
 		case <-w.freshness.begins():
 		case <-time.After(watchCheckMillis.Duration()):
 		case <-ctx.Done():
 		}
 	}
+	return false
 }
 
 // requestRead requests a read of the source. It does not block.
