--- a/core/fresh/node.go
+++ b/core/fresh/node.go
@@ -56,6 +56,7 @@
 		id     ClockID
 		proofs proofs
 		store  store
+		pacer  pacer
 
 		neighbours []Neighbour
 		peers      map[ident.NodeID]*peer
@@ -85,7 +86,7 @@
 func New(config Config, random *rand.Rand) *Node {
 	return &Node{
 		config: config, id: ClockID(random.Uint32() | 1), peers: make(map[ident.NodeID]*peer),
-		nextAsk: -clock.Forever,
+		pacer: pacer{random: random, promptAt: -clock.Forever}, nextAsk: -clock.Forever,
 	}
 }
 
--- a/core/fresh/store.go
+++ b/core/fresh/store.go
@@ -10,8 +10,8 @@
 	Answer struct {
 		// Version is the newest release that the node has read from the store.
 		Version ident.Version
-		// SentAt is when the call was sent.
-		SentAt clock.Millis
+		// SentAt is when the call was sent, and HoldMillis how long the store could hold it.
+		SentAt, HoldMillis clock.Millis
 		// Era and StoreMillis are those of the answer; 0 if the store does not state them.
 		Era         ident.Era
 		StoreMillis clock.Millis
@@ -42,6 +42,7 @@
 // revoked and which other nodes hold. So answers of a new era count only once a neighbour
 // has told which version it knows; it answers at once if it is reachable.
 func (n *Node) Answered(now clock.Millis, a Answer) []Action {
+	n.pacer.answered(now-a.SentAt, a.HoldMillis)
 	var out []Action
 	if a.Era != n.store.era {
 		n.store = store{era: a.Era}
@@ -83,8 +84,3 @@
 	}
 	return out
 }
-
-// StoreTimed reports whether the store states its time.
-func (n *Node) StoreTimed() bool {
-	return n.store.offset.known
-}
--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -22,18 +22,6 @@
 )
 
 const (
-	// promptAgeMillis is the age of the newest proof from which on a leader asks the store
-	// to answer at once.
-	promptAgeMillis = 1800 * clock.Millis(1)
-	// clockReadMillis is the time after which a leader asks the store to answer at once so
-	// that it knows the store's clock closely. The bound that it has grows by 1 ms a second.
-	clockReadMillis = 2 * clock.Minute
-	// untimedHoldMillis bounds the hold of a leader's wait if the store does not state its
-	// time: the proof is then as old as the call.
-	untimedHoldMillis = 500 * clock.Millis(1)
-	// holdJitter is the largest part by which the hold of a leader's wait is cut at random,
-	// so that leaders whose waits a release has ended do not call at the same times.
-	holdJitter = 0.2
 	// longHoldMillis is the hold from which on a wait is abandoned when the node begins to
 	// substitute for others.
 	longHoldMillis = 5 * clock.Second
@@ -70,14 +58,10 @@
 	mu         sync.Mutex
 	node       *fresh.Node
 	substitute fresh.Substitute
-	random     *rand.Rand
 	// held is the version in force. proven is whether it was proven to be the newest at the
 	// last tick, and lost whether it has ceased to be and that was logged.
 	held         ident.Version
 	proven, lost bool
-	// promptAt is when the store was last asked to answer at once, and overhead how much
-	// longer than its hold the last wait took.
-	promptAt, overhead clock.Millis
 }
 
 var _ proxy.Freshness = (*freshness)(nil)
@@ -92,8 +76,8 @@
 		c = boottime.Clock{}
 	}
 	f := &freshness{
-		clock: c, wall: wall, log: log, due: make(chan struct{}, 1), random: random,
-		node: fresh.New(config, random), substitute: fresh.Substitute{Rand: random}, promptAt: -clock.Forever,
+		clock: c, wall: wall, log: log, due: make(chan struct{}, 1),
+		node: fresh.New(config, random), substitute: fresh.Substitute{Rand: random},
 		substitutions: stats.Counter("proof_substitutions_total", "Times that this node began to call the store in place of the nodes that should."),
 	}
 	f.publish()
@@ -165,10 +149,9 @@
 // store was asked to hold. version is the newest that the node has read.
 func (f *freshness) answered(sentAt, hold clock.Millis, version ident.Version, a feed.Answer) {
 	f.update(func(now clock.Millis) []fresh.Action {
-		if a.Release.Version == 0 || hold == 0 {
-			f.overhead = max(now-sentAt-hold, 0)
-		}
-		return f.node.Answered(now, fresh.Answer{Version: version, SentAt: sentAt, Era: a.Position.Era, StoreMillis: a.StoreMillis})
+		return f.node.Answered(now, fresh.Answer{
+			Version: version, SentAt: sentAt, HoldMillis: hold, Era: a.Position.Era, StoreMillis: a.StoreMillis,
+		})
 	})
 }
 
@@ -251,20 +234,12 @@
 
 // adapt shortens the hold of a leader's wait so that the proof is renewed in time.
 func (f *freshness) adapt(s feed.Step) feed.Step {
-	if f == nil || s.Kind != feed.Wait || s.HoldMillis >= longHoldMillis {
+	if f == nil || s.Kind != feed.Wait || s.HoldMillis == 0 || s.HoldMillis >= longHoldMillis {
 		return s
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	switch {
-	case f.node.BestAge(now) >= promptAgeMillis || now-f.promptAt >= clockReadMillis:
-		f.promptAt, s.HoldMillis = now, 0
-	case !f.node.StoreTimed():
-		s.HoldMillis = min(s.HoldMillis, untimedHoldMillis)
-	default:
-		s.HoldMillis = max(s.HoldMillis*clock.Millis(1-holdJitter*f.random.Float64())-f.overhead, 0)
-	}
+	s.HoldMillis = f.node.Hold(f.clock.Now(), s.HoldMillis)
 	return s
 }
 
