--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -12,6 +12,7 @@
 	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
 	"hickoryrail/core/feed"
+	"hickoryrail/core/fresh"
 	"hickoryrail/core/grant"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
@@ -69,6 +70,13 @@
 		// their links, 0 if it is unknown.
 		usageCaps grant.Config
 		linkBits  int64
+		// revocation and proofClock are those of the nodes; set before they start.
+		revocation fresh.Config
+		proofClock clock.Clock
+		// began is the start of the platform's steady clock.
+		began time.Time
+		// holds holds the hold of each wait for a change.
+		holds []clock.Millis
 	}
 
 	// nodeSource is the platform as one node's source.
@@ -128,7 +136,7 @@
 	if h.invalid {
 		return feed.Answer{Position: h.position}, errInvalidRelease
 	}
-	return feed.Answer{Release: h.release, Position: h.position, Orders: h.ordersAt(true)}, nil
+	return feed.Answer{Release: h.release, Position: h.position, StoreMillis: h.millis(), Orders: h.ordersAt(true)}, nil
 }
 
 // ordersAt returns the orders for an answer; nil without rollouts. The caller holds mu.
@@ -175,7 +183,13 @@
 	return nil
 }
 
+// millis returns the platform's steady clock.
+func (h *fakePlatform) millis() clock.Millis { return clock.FromDuration(time.Since(h.began)) }
+
 func (h *fakePlatform) Next(ctx context.Context, after ident.Revision, hold clock.Millis) (feed.Answer, error) {
+	h.mu.Lock()
+	h.holds = append(h.holds, hold)
+	h.mu.Unlock()
 	for {
 		h.mu.Lock()
 		a, written, down, changed := feed.Answer{Release: h.release, Position: h.position}, h.releaseRevision, h.down, h.changed
@@ -192,6 +206,7 @@
 		case written > after && invalid:
 			return feed.Answer{Position: a.Position}, errInvalidRelease
 		case written > after:
+			a.StoreMillis = h.millis()
 			return a, nil
 		case ordered > after:
 			return feed.Answer{Position: a.Position, Orders: orders}, nil
@@ -200,7 +215,7 @@
 		case <-ctx.Done():
 			return feed.Answer{}, ctx.Err()
 		case <-time.After(hold.Duration()):
-			return feed.Answer{Position: a.Position}, nil
+			return feed.Answer{Position: a.Position, StoreMillis: h.millis()}, nil
 		case <-changed:
 		}
 	}
@@ -274,7 +289,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
+	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, began: time.Now(), seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
 }
 
 // start starts a hosted node, which the test has to stop.
@@ -296,7 +311,7 @@
 	}
 	s.Limits.LinkBitsPerSecond = h.linkBits
 	n, err := NewHosted(Hosted{
-		Settings: s, UsageCaps: h.usageCaps, Dialect: h.dialect, Source: nodeSource{h, id}, Directory: h, Statuses: h, Rollouts: h.rollouts,
+		Settings: s, UsageCaps: h.usageCaps, Dialect: h.dialect, Revocation: h.revocation, proofClock: h.proofClock, Source: nodeSource{h, id}, Directory: h, Statuses: h, Rollouts: h.rollouts,
 		Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
--- a/io/wire/control_test.go
+++ b/io/wire/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"hickoryrail/core/clock"
+	"hickoryrail/core/fresh"
 	"hickoryrail/core/grant"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
@@ -60,6 +61,9 @@
 		{Grant: &grant.Message{Kind: grant.Reply, Run: 1 << 63, Sequence: 4, Grants: []grant.Grant{{
 			Team: "north", Tokens: 7, HoldMillis: 100, SpreadMillis: 400, Warming: true, Declined: true,
 		}}}},
+		{Fresh: &fresh.Message{
+			Version: 7, At: 1.5, Clock: 9, SentAt: 3.25, EchoClock: 8, EchoSentAt: -2, EchoReceivedAt: 4, Ask: true,
+		}},
 	}
 }
 
@@ -107,6 +111,7 @@
 		{Grant: &grant.Message{Grants: []grant.Grant{{Team: "a"}}}},
 		{Grant: &grant.Message{Kind: grant.Reply, Grants: []grant.Grant{{Team: "a", HoldMillis: -1}}}},
 		{Grant: &grant.Message{Kind: grant.Reply, Grants: []grant.Grant{{Team: "a", Tokens: 1 << 31}}}},
+		{Fresh: &fresh.Message{At: clock.Millis(math.NaN())}},
 	} {
 		_, err := EncodeControl(c)
 		is.True(err != nil)
@@ -115,7 +120,9 @@
 		_, err = DecodeControl(body)
 		is.True(err != nil)
 	}
-	_, err := DecodeControl(make([]byte, MaxControlBytes+1))
+	_, err := EncodeControl(Control{Fresh: &fresh.Message{Version: 1}, Spread: &spread.Message{}})
+	is.True(err != nil)
+	_, err = DecodeControl(make([]byte, MaxControlBytes+1))
 	is.True(err != nil)
 }
 
@@ -147,6 +154,16 @@
 		}
 		random := rand.New(rand.NewPCG(1, 1))
 		now := clock.Second
+		if c.Fresh != nil {
+			n := fresh.New(fresh.Config{BoundMillis: clock.Second}, random)
+			n.SetNeighbours(now, []fresh.Neighbour{{Node: "n8"}})
+			n.Receive(now, "n8", *c.Fresh)
+			n.Tick(now + clock.Minute)
+			return
+		}
+		if c.Grant != nil || c.Canary != nil {
+			return
+		}
 		if c.Member != nil {
 			table := member.New(member.Record{Node: "n9", Incarnation: 1}, member.DefaultConfig(), random)
 			table.Receive(now, "n8", *c.Member)
