core/fresh: no proof from a wait that was not held

Change: a wait without a change proves something only if it was held for a second or more; leaders and substitutes read the store where they asked for an answer at once. Substitutes begin at a proof age of 2.0 s instead of 2.2 s.

--- a/core/fresh/node.go
+++ b/core/fresh/node.go
@@ -86,7 +86,7 @@
 func New(config Config, random *rand.Rand) *Node {
 	return &Node{
 		config: config, id: ClockID(random.Uint32() | 1), peers: make(map[ident.NodeID]*peer),
-		pacer: pacer{random: random, promptAt: -clock.Forever}, nextAsk: -clock.Forever,
+		pacer: pacer{random: random, readAt: -clock.Forever}, nextAsk: -clock.Forever,
 	}
 }
 
--- a/core/fresh/node_test.go
+++ b/core/fresh/node_test.go
@@ -65,8 +65,16 @@
 	const acknowledged = 10 * clock.Second
 	// A wait is answered without a change just before the second ends.
 	answered := acknowledged + historyMillis
-	n.Answered(answered, Answer{Version: 4, SentAt: answered, Era: 1, StoreMillis: 50_000})
+	a := Answer{Version: 4, Unchanged: true, SentAt: answered - 1500, HoldMillis: 1500, Era: 1, StoreMillis: 50_000}
+	n.Answered(answered, a)
 	is.True(n.ValidUntil() <= acknowledged+testBound)
+	// One that was held for less may have heard nothing of a change long before.
+	until := n.ValidUntil()
+	a.SentAt, a.StoreMillis, a.HoldMillis = answered+100, 50_110, 0
+	n.Answered(answered+110, a)
+	a.HoldMillis = 1500 // not held
+	n.Answered(answered+120, a)
+	is.Equal(n.ValidUntil(), until)
 }
 
 // TestStoreDownOrSlow guards against requests with keys that go on after the bound when the
--- a/core/fresh/store.go
+++ b/core/fresh/store.go
@@ -10,6 +10,8 @@
 	Answer struct {
 		// Version is the newest release that the node has read from the store.
 		Version ident.Version
+		// Unchanged is set for a wait that ended without a change.
+		Unchanged bool
 		// SentAt is when the call was sent, and HoldMillis how long the store could hold it.
 		SentAt, HoldMillis clock.Millis
 		// Era and StoreMillis are those of the answer; 0 if the store does not state them.
@@ -36,7 +38,8 @@
 
 // Answered takes in an answer of the store. Its proof is from the time at which the call
 // was sent, or from a later one that follows from the store's time: a call that the store
-// held was answered long after it was sent.
+// held was answered long after it was sent. A wait that ended without a change must have
+// been held for longer than the store may withhold changes.
 //
 // A store that was restored from an older copy may lack a release by which a key was
 // revoked and which other nodes hold. So answers of a new era count only once a neighbour
@@ -57,7 +60,7 @@
 		at = max(at, n.store.offset.convert(now, a.StoreMillis))
 	}
 	switch {
-	case a.Version == 0:
+	case a.Version == 0, a.Unchanged && min(a.HoldMillis, now-a.SentAt) < historyMillis:
 	case n.store.deadline > 0 && n.store.pending.version > 0:
 		n.store.pending = proof{max(a.Version, n.store.pending.version), max(at, n.store.pending.at)}
 	case n.store.deadline > 0:
--- a/core/fresh/substitute.go
+++ b/core/fresh/substitute.go
@@ -11,7 +11,7 @@
 	// substituteAgeMillis is the age of the newest proof from which on nodes call the store
 	// in place of those that should. It is above the age that proofs reach in a fleet
 	// without faults, and leaves 1.5 s until they run out at a bound of 5 s.
-	substituteAgeMillis = 2200 * clock.Millis(1)
+	substituteAgeMillis = 2000 * clock.Millis(1)
 	// substituteRate is the number of nodes in the whole fleet that begin to call per
 	// second at that age. It doubles with each doublingMillis, up to maxSubstituteRate, so
 	// that enough nodes call in time although the store turns away a third of them.
--- a/core/fresh/worldstore_test.go
+++ b/core/fresh/worldstore_test.go
@@ -37,8 +37,12 @@
 	}
 	if s.Kind == feed.Wait && s.HoldMillis > 5*clock.Second {
 		n.holding = true
-	} else if s.Kind == feed.Wait && s.HoldMillis > 0 {
-		s.HoldMillis = n.node.Hold(sent, s.HoldMillis)
+	} else if s.Kind == feed.Wait {
+		if hold, ok := n.node.Hold(sent, s.HoldMillis); !ok {
+			s = feed.Step{Kind: feed.Read}
+		} else if s.HoldMillis > 0 {
+			s.HoldMillis = hold
+		}
 	}
 	n.call++
 	w.calls++
@@ -69,7 +73,7 @@
 	if ok && a.Position.Revision > 0 {
 		if s.Kind == feed.Read || !out.Restored {
 			w.send(n, n.node.Answered(now, Answer{
-				Version: n.follower.Newest(), SentAt: sent, HoldMillis: s.HoldMillis, Era: a.Position.Era, StoreMillis: a.StoreMillis,
+				Version: n.follower.Newest(), Unchanged: s.Kind == feed.Wait && a.Release.Version == 0, SentAt: sent, HoldMillis: s.HoldMillis, Era: a.Position.Era, StoreMillis: a.StoreMillis,
 			}))
 		}
 		w.hold(n, a.Release.Version)
--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -145,12 +145,13 @@
 	})
 }
 
-// answered takes in an answer of the store to a call that was sent at a time and that the
-// store was asked to hold. version is the newest that the node has read.
-func (f *freshness) answered(sentAt, hold clock.Millis, version ident.Version, a feed.Answer) {
+// answered takes in an answer of the store to a step that was begun at a time. version is the
+// newest that the node has read.
+func (f *freshness) answered(sentAt clock.Millis, s feed.Step, version ident.Version, a feed.Answer) {
 	f.update(func(now clock.Millis) []fresh.Action {
 		return f.node.Answered(now, fresh.Answer{
-			Version: version, SentAt: sentAt, HoldMillis: hold, Era: a.Position.Era, StoreMillis: a.StoreMillis,
+			Version: version, Unchanged: s.Kind == feed.Wait && a.Release.Version == 0,
+			SentAt: sentAt, HoldMillis: s.HoldMillis, Era: a.Position.Era, StoreMillis: a.StoreMillis,
 		})
 	})
 }
@@ -232,14 +233,20 @@
 	return f.due
 }
 
-// adapt shortens the hold of a leader's wait so that the proof is renewed in time.
+// adapt changes a leader's next call so that the proof is renewed in time.
 func (f *freshness) adapt(s feed.Step) feed.Step {
-	if f == nil || s.Kind != feed.Wait || s.HoldMillis == 0 || s.HoldMillis >= longHoldMillis {
+	if f == nil || s.Kind != feed.Wait || s.HoldMillis >= longHoldMillis {
 		return s
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.HoldMillis = f.node.Hold(f.clock.Now(), s.HoldMillis)
+	hold, ok := f.node.Hold(f.clock.Now(), s.HoldMillis)
+	if !ok {
+		return feed.Step{Kind: feed.Read}
+	}
+	if s.HoldMillis > 0 { // else the wait confirms the era
+		s.HoldMillis = hold
+	}
 	return s
 }
 
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -198,7 +198,7 @@
 		w.refused(ctx, a, err)
 		return true
 	}
-	w.prove(sentAt, 0, a)
+	w.prove(sentAt, feed.Step{Kind: feed.Read}, a)
 	w.handleRelease(a.Release)
 	w.fleet.setFloor(a.Release.Version)
 	sleep(ctx, out.DelayMillis.Duration())
@@ -225,7 +225,7 @@
 		out := w.follower.WaitDone(w.clock.Now(), a)
 		w.answered(out)
 		if !out.Restored { // else the answer may lack releases
-			w.prove(sentAt, step.HoldMillis, a)
+			w.prove(sentAt, step, a)
 		}
 		w.handleRelease(a.Release)
 		sleep(ctx, out.DelayMillis.Duration())
@@ -235,10 +235,10 @@
 // prove records that an answer showed which release is the newest. One that was refused
 // cannot be put in force, and a key may be revoked in it; so nothing is proven until the
 // source has a usable one.
-func (w *watcher) prove(sentAt, hold clock.Millis, a feed.Answer) {
+func (w *watcher) prove(sentAt clock.Millis, s feed.Step, a feed.Answer) {
 	w.unusable = w.unusable && a.Release.Version == 0
 	if !w.unusable {
-		w.freshness.answered(sentAt, hold, w.follower.Newest(), a)
+		w.freshness.answered(sentAt, s, w.follower.Newest(), a)
 	}
 }
 
