core/fresh: tests that notice a missing margin and a proof for a version below the known one

Cause: with the margin, or with the rule that a proof counts for the highest known version, taken out of the code, no test of that name failed. Measured: each of the two changes to the code now fails its test; go test ./core/fresh passes.

--- a/core/fresh/node_test.go
+++ b/core/fresh/node_test.go
@@ -63,11 +63,14 @@
 	is := is.New(t)
 	n := newTestNode(1)
 	const acknowledged = 10 * clock.Second
-	// A wait is answered without a change just before the second ends.
+	// A wait is answered without a change just before the second ends. The store's clock
+	// is known, so the proof is as old as the answer.
 	answered := acknowledged + historyMillis
+	n.Answered(answered-3000, Answer{Version: 4, SentAt: answered - 3000, Era: 1, StoreMillis: 47_000})
 	a := Answer{Version: 4, Unchanged: true, SentAt: answered - 1500, HoldMillis: 1500, Era: 1, StoreMillis: 50_000}
 	n.Answered(answered, a)
 	is.True(n.ValidUntil() <= acknowledged+testBound)
+	is.True(n.ValidUntil() > answered-10+testValid)
 	// One that was held for less may have heard nothing of a change long before.
 	until := n.ValidUntil()
 	a.SentAt, a.StoreMillis, a.HoldMillis = answered+100, 50_110, 0
@@ -227,6 +230,9 @@
 	is.Equal(n.ValidUntil(), 1500+testValid)
 	n.SetHeld(5)
 	is.Equal(n.ValidUntil(), 2200+testValid)
+	n.SetHeld(6) // neighbours must not take a proof for version 4 from a node that knows 6
+	n.Answered(2300, Answer{Version: 4, SentAt: 2300})
+	is.Equal(n.proofs.best(), proof{6, 2300})
 }
 
 // TestPeersAreBounded guards against memory that grows with the nodes that send messages,
