--- a/io/bench/balancepolicy.go
+++ b/io/bench/balancepolicy.go
@@ -95,7 +95,7 @@
 	return c.Target.ID
 }
 
-// take makes the picker choose a target, by excluding nothing else it would choose.
+// take accepts a target that a gate has named. The picker does not count the call.
 func (b *pickerBalancer) take(clock.Millis, ident.TargetID) bool {
 	return b.names
 }
--- a/io/conf/hosted_test.go
+++ b/io/conf/hosted_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"hickoryrail/core/route"
 )
 
 // TestHostedSettings guards against settings for PlatformRows that are refused by rules
@@ -29,3 +31,21 @@
 	_, err = Parse(base + "Platform = \"other\"\n")
 	is.True(err != nil)
 }
+
+// TestBalance guards against a mode of load balancing that is not applied, and against an
+// unknown one that is taken for a known one.
+func TestBalance(t *testing.T) {
+	is := is.New(t)
+	const base = "Node = \"a\"\nFailureDomain = \"d\"\nRegion = \"r\"\nPlatformURL = \"http://10.0.0.1:1\"\n"
+	for text, want := range map[string]route.BalanceMode{
+		"": route.BalanceAuto, "Balance = \"auto\"\n": route.BalanceAuto, "Balance = \"on\"\n": route.BalanceOn, "Balance = \"off\"\n": route.BalanceOff,
+	} {
+		s, err := Parse(base + text)
+		is.NoErr(err)
+		is.Equal(s.Balance, want)
+	}
+	for _, text := range []string{"\"ON\"", "\"\"", "true", "1"} {
+		_, err := Parse(base + "Balance = " + text + "\n")
+		is.True(err != nil)
+	}
+}
