io/proxy: sizes of failures do not count as those of large answers

Cause: a target that fails with small answers would lower the expected size, and its gate would then admit more than the link sends. Change: only successful answers with content count.

--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -28,6 +28,8 @@
 	// minFailureStatus is the lowest HTTP status that counts as a failure of the
 	// target.
 	minFailureStatus = 500
+	// minRedirectStatus is the lowest HTTP status above those of successful answers.
+	minRedirectStatus = 300
 )
 
 // Reasons of an attempt.
--- a/io/proxy/gatecall.go
+++ b/io/proxy/gatecall.go
@@ -86,7 +86,7 @@
 func (g *Gateway) finish(c *gateCall, resp *wire.Response, now, took clock.Millis, keep bool) []byte {
 	id := c.request.ID
 	g.mu.Lock()
-	if resp.Verdict == result.Ran && g.gate.Egress != nil {
+	if g.gate.Egress != nil && isContent(resp) {
 		g.gate.Egress.Answered(id, ident.Bytes(len(resp.Body)))
 	}
 	g.apply(now, g.gate.Finish(now, id, took))
@@ -122,6 +122,12 @@
 	return kept
 }
 
+// isContent reports whether a response has the content that was asked for. The size of
+// another one, such as a failure, does not show that of later answers.
+func isContent(resp *wire.Response) bool {
+	return resp.Verdict == result.Ran && resp.Status < minRedirectStatus && len(resp.Body) > 0
+}
+
 // apply delivers the gate's actions to the calls they concern. The caller holds mu.
 func (g *Gateway) apply(now clock.Millis, actions []admit.Action) {
 	for _, a := range actions {
