core/canary: orders for the version in force, and versions that fail rarely

Cause: an order for the version in force was rolled back under trouble, or with a time of 0, and the service then had no target that gets requests; a version that fails in 5 of 100 got up to 20 in 100 of the requests in a fleet of 16 nodes while the test was undecided. Change: without answers of the old version there is no finding, without old targets no rollback; the last steps end in a rollback if the score is 8 or more when the requests are used up. Measured: TestUnusableOrders with a time of 0, TestVersionInForceFails and TestSuspectVersion fail without the changes and pass with them; go test ./core/trial -run 'Suspect|Good|Faulty' passes.

--- a/core/canary/action.go
+++ b/core/canary/action.go
@@ -34,6 +34,7 @@
 	reasonTakenOver = "rollout is taken over from another node"
 	reasonStep      = "share of the new version grows"
 	reasonFaulty    = "new version is faulty"
+	reasonSuspect   = "new version may be faulty and has used up its requests"
 	reasonLocalStop = "this node stops sending to the new version, which fails here"
 	reasonDrained   = "old version has no requests left"
 	reasonInForce   = "all targets run the version"
--- a/core/canary/decider.go
+++ b/core/canary/decider.go
@@ -15,6 +15,9 @@
 	// the share had grown: its predecessor had seen enough.
 	minTrialMillis = 1500 * clock.Millis(1)
 	minAgainMillis = 500 * clock.Millis(1)
+	// settleMillis is the time after the beginning before which no deadline ends a rollout:
+	// an order without time may be for the version in force, which then has to stay.
+	settleMillis = 1 * clock.Second
 	// inForceMillis is the time without targets of the old version after which a rollout
 	// has nothing left to do.
 	inForceMillis = 2 * clock.Second
@@ -88,6 +91,9 @@
 		drained map[ident.TargetID]bool
 		// aloneSince is since when there are no targets of the old version; 0 if there are.
 		aloneSince clock.Millis
+		// hadOld is set once there were such targets after the labels had arrived. Without
+		// any, the order is for the version in force, and there is none to go back to.
+		hadOld bool
 
 		step   int
 		stepAt clock.Millis
@@ -95,7 +101,8 @@
 		share  float64
 		// outcome is what was decided; Pending before that.
 		outcome Phase
-		// known is set if the outcome was in the store before.
+		// known is set if the outcome stays after the deadline, for example because it was
+		// in the store before.
 		known bool
 		// done is set once the outcome is in the store.
 		done   bool
@@ -156,6 +163,7 @@
 func (d *decider) tick(now clock.Millis, t targets) []Action {
 	if len(t.old) > 0 {
 		d.aloneSince = 0
+		d.hadOld = d.hadOld || d.claimed && now-d.claimedAt >= settleMillis
 	} else if d.aloneSince == 0 {
 		d.aloneSince = now
 	}
@@ -188,17 +196,24 @@
 func (d *decider) decide(now clock.Millis, t targets) {
 	f := d.judge.worst(now)
 	switch {
-	case f.faulty():
+	case f.faulty() && (d.hadOld || len(t.old) > 0):
 		d.conclude(RolledBack, reasonFaulty)
+	case d.step > stepTrial && f.suspect() && d.spent(now):
+		d.conclude(RolledBack, reasonSuspect)
 	case now >= d.last() && d.step == stepAll && !f.suspect() && d.shown():
 		d.conclude(Completed, reasonTime)
+	case now >= d.last() && now-d.claimedAt < settleMillis:
+		// The labels of the targets may still be on their way.
+	case now >= d.last() && t.new > 0 && len(t.old) == 0:
+		d.known = true // also after the deadline
+		d.conclude(Completed, reasonInForce)
 	case now >= d.last() && t.new == 0:
 		d.conclude(RolledBack, reasonNoTargets)
 	case now >= d.last():
 		d.conclude(RolledBack, reasonDeadline)
-	case f.suspect() || t.new == 0:
+	case (f.suspect() || t.new == 0) && (d.hadOld || d.aloneSince == 0):
 		// The share does not grow.
-	case d.aloneSince > 0 && now-max(d.aloneSince, d.claimedAt) >= inForceMillis:
+	case t.new > 0 && d.aloneSince > 0 && now-max(d.aloneSince, d.claimedAt) >= inForceMillis:
 		d.conclude(Completed, reasonInForce)
 	case now-d.claimedAt < d.minTrial() || !d.shown() || now-d.confirmedAt > confirmedMillis:
 		// There is too little evidence, or the store does not answer.
@@ -225,6 +240,15 @@
 	}
 }
 
+// spent reports whether the new version has got the requests that a faulty one may get
+// until the deadline, at the rate so far. Nodes report theirs after half a second on average.
+// Config.Slack is left for those that are sent until all nodes know of an end.
+func (d *decider) spent(now clock.Millis) bool {
+	perMilli := (d.old + d.new) / max(float64(now-d.claimedAt), 1)
+	unreported := d.share * perMilli * float64(evidenceMillis/2)
+	return d.new+unreported >= d.config.Share*perMilli*float64(d.deadline-d.start)
+}
+
 // minTrial returns the least time in which evidence is collected.
 func (d *decider) minTrial() clock.Millis {
 	if d.hadGrown {
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -37,6 +37,9 @@
 	// minBase is the number of answers of the old version on a route from which on they
 	// give its own rates; with fewer, those of all routes apply.
 	minBase = 20
+	// minAllBase is the number of answers of the old version on all routes from which on the
+	// versions are compared: without them nothing shows that the new one is worse.
+	minAllBase = 5
 	// slowBuckets is the distance in buckets from the median of the old version from which
 	// on an answer is slow: a factor of 2 to 2.8. Cold targets and noise stay below it.
 	slowBuckets = 3
@@ -267,6 +270,7 @@
 
 // rate returns the assumed rate of bad answers of the old version: an upper bound of what
 // its answers show, since the test takes it as exact.
+// It is 0 if there are too few of these.
 func (e *routeEvidence) rate(all *routeEvidence, slow bool) (rate float64, limit int) {
 	base := e.baseline()
 	limit = bucketCount
@@ -276,6 +280,9 @@
 	if base.total() < minBase {
 		base = all.baseline()
 	}
+	if base.total() < minAllBase {
+		return 0, limit
+	}
 	bad, least := base.failed, float64(minFailureRate)
 	if slow {
 		bad, least = bad+base.delays.from(limit), minSlowRate
@@ -298,14 +305,17 @@
 
 // sum returns the sum of the log likelihood ratios with that of the open window.
 func (e *routeEvidence) sum(all *routeEvidence, slow bool) float64 {
-	p0, limit := e.rate(all, slow)
-	odds := oddsRatio * p0 / (1 - p0)
-	p1 := odds / (1 + odds)
-	forBad, forGood := math.Log(p1/p0), math.Log((1-p1)/(1-p0))
 	sum := e.failures
 	if slow {
 		sum = e.slowness
 	}
+	p0, limit := e.rate(all, slow)
+	if p0 == 0 {
+		return sum
+	}
+	odds := oddsRatio * p0 / (1 - p0)
+	p1 := odds / (1 + odds)
+	forBad, forGood := math.Log(p1/p0), math.Log((1-p1)/(1-p0))
 	for _, c := range e.open {
 		bad := c.failed + c.delays.from(limit)
 		sum += bad*forBad + (c.total()-bad)*forGood
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -193,7 +193,7 @@
 		return route.NewVersion
 	case r.phase == Completed:
 		return route.AnyVersion
-	case r.phase == RolledBack, r.stopped, !hasNew:
+	case r.phase == RolledBack, r.stopped && hasOld, !hasNew:
 		return route.OldVersion
 	case !hasOld:
 		return route.NewVersion
@@ -270,10 +270,10 @@
 // a million (Chernoff bound), whatever the targets.
 func (r *rollout) failsHere() bool {
 	bad, n := r.failed[1], r.answered[1]
-	if bad < localBad || r.targets.new > 1 && r.badTargets() < 2 {
+	if bad < localBad || r.answered[0] < minBase || r.targets.new > 1 && r.badTargets() < 2 {
 		return false
 	}
-	p0 := max(upperRate(r.failed[0]+1, r.answered[0]+1/minFailureRate), minFailureRate)
+	p0 := min(max(upperRate(r.failed[0]+1, r.answered[0]), minFailureRate), maxBaseRate)
 	return chernoff(bad, n, p0) > localScore
 }
 
--- a/core/trial/order_test.go
+++ b/core/trial/order_test.go
@@ -120,6 +120,7 @@
 		{New, 0, 27, canary.RolledBack},
 		{New, 1, 27, canary.RolledBack},
 		{Old, testDuration, 0, canary.Completed}, // in force
+		{Old, 0, 0, canary.Completed},
 	} {
 		o := options(6)
 		o.NewTargets = c.news
@@ -130,9 +131,27 @@
 		is.Equal(f.Store.Status().Phase, c.want)
 		checkHistory(t, f)
 		is.Equal(f.Result.New, 0)
+		is.Equal(f.Result.Refused, 0)
 	}
 }
 
+// TestVersionInForceFails guards against a version that is rolled back, and then gets no
+// requests, although there is no other one.
+func TestVersionInForceFails(t *testing.T) {
+	is := is.New(t)
+	o := options(12)
+	o.NewTargets = 0
+	o.Trouble = func(clock.Millis) (float64, float64) { return 0.5, 4 }
+	f := NewFleet(o)
+	f.Run(warmUp)
+	f.Order(Old, testDuration)
+	f.Run(testDuration)
+	if f.Store.Status().Phase != canary.Completed {
+		t.Fatalf("%+v", f.Result.Notes)
+	}
+	is.Equal(f.Result.Refused, 0)
+}
+
 // TestEarlierOutcome guards against the outcome of an earlier version that is taken for
 // that of a new order.
 func TestEarlierOutcome(t *testing.T) {
@@ -290,3 +309,17 @@
 		is.Equal(f.Store.Status().Phase, canary.RolledBack)
 	}
 }
+
+// TestSuspectVersion guards against a version that fails rarely and gets more than its
+// requests while the test is undecided.
+func TestSuspectVersion(t *testing.T) {
+	for seed := range uint64(10) {
+		o := options(seed)
+		o.Nodes, o.OldTargets, o.NewTargets, o.PerSecond = 16, 7, 7, 128
+		o.NewFails = constant(0.05)
+		f := rollOut(o, nil)
+		if f.Store.Status().Phase == canary.RolledBack {
+			checkExposure(t, f)
+		}
+	}
+}
