core/canary: trouble that begins while the share grows is not attributed to the new version

Change: a step with 0.9 of the requests for 1 s, in which the old version gives enough answers to compare; the evidence of the step after it is not judged. A node's own counts for its stop are halved each second.

--- a/core/canary/decider.go
+++ b/core/canary/decider.go
@@ -15,6 +15,10 @@
 	// the share had grown: its predecessor had seen enough.
 	minTrialMillis = 1500 * clock.Millis(1)
 	minAgainMillis = 500 * clock.Millis(1)
+	// lateMillis is the time after the beginning of stepAll in which evidence still counts.
+	// Later evidence is about requests of which the old version has got none, so that
+	// nothing shows whether trouble hits both.
+	lateMillis = 150 * clock.Millis(1)
 	// settleMillis is the time after the beginning before which no deadline ends a rollout:
 	// an order without time may be for the version in force, which then has to stay.
 	settleMillis = 1 * clock.Second
@@ -302,7 +306,9 @@
 func (d *decider) add(now clock.Millis, e Evidence) {
 	d.old += float64(e.Old)
 	d.new += float64(e.New)
-	d.judge.add(now, e.Rows)
+	if d.step < stepAll || now-d.stepAt <= lateMillis {
+		d.judge.add(now, e.Rows)
+	}
 	if e.Target != "" && int(e.Step) == d.step && d.step == stepAll {
 		d.drained[e.Target] = e.Calls == 0
 	}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -277,6 +277,13 @@
 	return chernoff(bad, n, p0) > localScore
 }
 
+// forget halves the counts for stopped, so that they show the last few seconds.
+func (r *rollout) forget() {
+	for i := range r.failed {
+		r.failed[i], r.answered[i] = r.failed[i]/2, r.answered[i]/2
+	}
+}
+
 // badTargets returns the number of targets of the new version with failures among the rows
 // that were not sent yet.
 func (r *rollout) badTargets() int {
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -26,17 +26,19 @@
 	stepTrial = iota
 	stepQuarter
 	stepHalf
+	// stepMost leaves the old version enough requests for a comparison.
+	stepMost
 	// stepAll sends all requests to the new version; the old targets end theirs.
 	stepAll
 )
 
 // shares holds the share of the new version in the steps after the first one, and lengths
-// their least duration. Until stepAll, the new version gets the requests of 0.9 s: those of
+// their least duration. Until stepMost, the new version gets the requests of 0.9 s: those of
 // 0.45 s in a trial of 11 s at 0.4 of a tenth, and of 0.45 s in the next two steps. A tenth
-// of 16 s is 1.6 s. In stepAll, each node reports once within 1 s.
+// of 16 s is 1.6 s.
 var (
-	shares  = [...]float64{stepQuarter: 0.2, stepHalf: 0.5, stepAll: 1}
-	lengths = [...]clock.Millis{stepQuarter: 700, stepHalf: 600, stepAll: 1200}
+	shares  = [...]float64{stepQuarter: 0.2, stepHalf: 0.5, stepMost: 0.9, stepAll: 1}
+	lengths = [...]clock.Millis{stepQuarter: 700, stepHalf: 600, stepMost: 1000, stepAll: 400}
 )
 
 // margin returns the time before the deadline at which the outcome is to be written.
--- a/core/canary/tick.go
+++ b/core/canary/tick.go
@@ -204,6 +204,7 @@
 		return nil
 	}
 	e.Rows = r.takeRows()
+	r.forget()
 	r.old, r.new = 0, 0
 	r.evidenceAt = now + evidenceMillis
 	if r.state.Decider == n.Self {
