core/clock, io/trial: one clock that counts suspended time; the model of a rollout out of core

Change: core/clock.Boot replaces io/boottime; core/trial is io/trial. Measured: go test ./core/clock ./io/trial passes.

--- a/core/clock/boot_test.go
+++ b/core/clock/boot_test.go
@@ -18,3 +18,11 @@
 	is.True(passed >= 20)
 	is.True(passed <= s.Now()-reference+Second)
 }
+
+// BenchmarkBoot measures a reading of the clock, which each request with a key makes.
+func BenchmarkBoot(b *testing.B) {
+	c := NewBoot()
+	for range b.N {
+		c.Now()
+	}
+}
--- a/io/bench/rollout.go
+++ b/io/bench/rollout.go
@@ -5,7 +5,7 @@
 
 	"hickoryrail/core/canary"
 	"hickoryrail/core/clock"
-	"hickoryrail/core/trial"
+	"hickoryrail/io/trial"
 )
 
 const (
--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -14,7 +14,6 @@
 	"hickoryrail/core/fresh"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/spread"
-	"hickoryrail/io/boottime"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/proxy"
 	"hickoryrail/io/stats"
@@ -73,7 +72,7 @@
 		return nil
 	}
 	if c == nil {
-		c = boottime.Clock{}
+		c = clock.NewBoot()
 	}
 	f := &freshness{
 		clock: c, wall: wall, log: log, due: make(chan struct{}, 1),
