io/wire, io/uplink, io/proxy: no cost for messages and requests where nothing is configured

Control messages were encoded and decoded twice, and each frame and response took the lock of the link. Change: the encoding is called directly; whether large answers are paced, and whether a target has stated its pace, is read without a lock. Tests of the packages pass.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -136,6 +136,9 @@
 		o.Leaving = n.Leaving
 		if l, ok := n.Load.Get(); ok {
 			o.Stated = route.StatedLoad{Slots: l.Slots, Pace: l.Pace.Or(0)}
+			if o.Stated.Pace > 0 && !in.paceStated.Load() {
+				in.paceStated.Store(true)
+			}
 		}
 	}
 	o.Verdict = resp.Verdict
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -132,6 +132,8 @@
 		idPrefix string
 		sequence atomic.Uint64
 		draining atomic.Bool
+		// paceStated is set once a target has stated its pace.
+		paceStated atomic.Bool
 		// stop is the plan of the planned stop in progress; nil without one.
 		stop atomic.Pointer[plannedStop]
 		// openedAt is the instant of Open.
--- a/io/proxy/return.go
+++ b/io/proxy/return.go
@@ -17,7 +17,7 @@
 // nameReturn sets the time after which the caller of a call that was refused for lack of room
 // may return, if the configuration has teams or the targets of the service state their pace.
 func (in *Ingress) nameReturn(c *call, resp *wire.Response) {
-	if in.Returns == nil {
+	if in.Returns == nil || !c.view.HasTeams() && !in.paceStated.Load() {
 		return
 	}
 	now := in.Clock.Now()
--- a/io/proxy/return_test.go
+++ b/io/proxy/return_test.go
@@ -45,6 +45,7 @@
 	c.view = viewOf(t, 2, configuration(4))
 	is.Equal(refuse(c, admit.ReasonGoal), clock.Millis(0)) // no teams
 	pace(t, in.Clock.Now(), in.Picker, c)
+	in.paceStated.Store(true)
 	is.True(refuse(c, admit.ReasonGoal) > 500) // targets that state their pace
 }
 
--- a/io/uplink/link.go
+++ b/io/uplink/link.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,10 +37,12 @@
 
 		clock clock.Clock
 
+		// active is read without the lock, since every frame and response asks for it.
+		active atomic.Bool
+
 		// mu guards what follows. It is acquired after the locks of the callers.
-		mu     sync.Mutex
-		active bool
-		pacer  admit.Pacer
+		mu    sync.Mutex
+		pacer admit.Pacer
 		// granted maps each turn that asks for a piece to the channel that is closed when
 		// the piece may be written.
 		granted map[*admit.Turn]chan struct{}
@@ -94,19 +97,12 @@
 	if l == nil {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.active = active
+	l.active.Store(active)
 }
 
 // Active reports whether large answers are paced.
 func (l *Link) Active() bool {
-	if l == nil {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.active
+	return l != nil && l.active.Load()
 }
 
 // Backlog returns the bytes of large answers that wait to be sent and the bytes per
@@ -117,7 +113,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.active {
+	if !l.active.Load() {
 		return l.pacer.Backlog(), 0
 	}
 	return l.pacer.Backlog(), l.pacer.Rate()
@@ -125,26 +121,21 @@
 
 // Sent records n bytes that were sent without waiting.
 func (l *Link) Sent(n int) {
-	if l == nil {
+	if !l.Active() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.active {
-		l.pacer.Sent(l.clock.Now(), ident.Bytes(n))
-	}
+	l.pacer.Sent(l.clock.Now(), ident.Bytes(n))
 }
 
 // Begin returns the sending of an answer of n bytes, or nil for one that is not paced.
 func (l *Link) Begin(n int) *Sending {
-	if l == nil || n <= smallBytes {
+	if n <= smallBytes || !l.Active() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.active {
-		return nil
-	}
 	return &Sending{link: l, turn: l.pacer.Begin(ident.Bytes(n))}
 }
 
--- a/io/wire/control.go
+++ b/io/wire/control.go
@@ -82,14 +82,14 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	return Encode(c)
+	return c.MarshalCBOR() // directly, since Encode would check and copy the result
 }
 
 // DecodeControl decodes a control message. It returns an error for anything that
 // is malformed, oversized or out of range.
 func DecodeControl(body []byte) (Control, error) {
-	c, err := Decode[Control](body, MaxControlBytes)
-	if err != nil {
+	var c Control
+	if err := c.UnmarshalCBOR(body); err != nil { // directly, since Decode would read body twice
 		return Control{}, err
 	}
 	if err := c.check(); err != nil {
