--- a/core/admit/goalqueue.go
+++ b/core/admit/goalqueue.go
@@ -34,8 +34,8 @@
 		// late holds the calls that will miss their goals, in order of deadline. They
 		// start only when no other call waits.
 		late []Call
-		// averageRun is the moving average of each rank's run time at the usual pace; 0 until a call has
-		// finished.
+		// averageRun is the moving average of each rank's run time at the usual pace; 0 until
+		// a call has finished.
 		averageRun [LastRank + 1]clock.Millis
 		// pressedUntil is until when each rank of new requests goes before all calls of
 		// less urgent running requests.
@@ -278,9 +278,9 @@
 }
 
 // expectedEnd returns the time until c would end if it ran for run at the usual pace. It
-// would wait for the expected run times of the calls ahead
-// of it and one average run time for the running calls, divided by the slots, but at
-// least until the limit of requests per second allows it to start.
+// would wait for the expected run times of the calls ahead of it and one average run time
+// for the running calls, divided by the slots, but at least until the limit of requests per
+// second allows it to start.
 func (q *goalQueue) expectedEnd(now clock.Millis, c Call, run clock.Millis) clock.Millis {
 	limit := q.gate.limit() - q.gate.announced
 	if limit <= 0 {
--- a/io/proxy/forward.go
+++ b/io/proxy/forward.go
@@ -246,7 +246,8 @@
 }
 
 // recordRefusal writes a request that was not admitted to the decision log, and counts it
-// if it was rejected because of its team; c is nil if its route is not known. Its path is left out, since a caller can choose it freely.
+// if it was rejected because of its team; c is nil if its route is not known. Its path is
+// left out, since a caller can choose it freely.
 func (in *Ingress) recordRefusal(ctx *fasthttp.RequestCtx, c *call, resp *wire.Response, now clock.Millis) {
 	d := logs.Decision{At: now, Kind: logs.Answer, Node: in.Self, Verdict: resp.Verdict, Reason: resp.Reason}
 	if v := in.view.Load(); v != nil {
--- a/io/wire/former_test.go
+++ b/io/wire/former_test.go
@@ -32,8 +32,8 @@
 // case they must not change the encoding.
 var laterFields = sets.Of("model.Route.Anonymous", "model.Route.LargeAnswers", "model.Rules.Teams", "member.Record.Software")
 
-// fill sets every field of v other than laterFields, in the order of declaration, to a value that differs
-// from that of the other fields, so that a moved or renamed field changes the
+// fill sets every field of v other than laterFields, in the order of declaration, to a value
+// that differs from that of the other fields, so that a moved or renamed field changes the
 // encoding.
 func fill(v reflect.Value, n *int) {
 	*n++
