io/httpc, io/proxy: an answer with an invalid status is not passed on

Cause: fasthttp takes any three digits as a status. It reports 000 as 200, the value that it uses for a status that is not set, and the proxy had only that value to go by. 001 to 099 counted as interim answers, so that the next answer on the connection was passed on; 600 to 999 were passed on as they were.

Change: io/httpc reads the heads of answers. A status outside 100 to 599 (RFC 9110, section 15) makes the answer malformed: the request may have run, the connection is closed, and the caller gets 502 with a reason of its own, "target's answer is malformed".

Measured: TestInvalidStatus has 16 answers, through a gate and as a caller of an ingress sees them.

--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -11,6 +11,7 @@
 
 	"hickoryrail/core/ident"
 	"hickoryrail/core/result"
+	"hickoryrail/io/httpc"
 	"hickoryrail/io/mem"
 )
 
@@ -46,16 +47,8 @@
 // a signature, which callers check.
 func (x *exchange) read(b *bufio.Reader, limit int, allowEOF bool) error {
 	h := &x.resp.Header
-	for interim := 0; ; interim++ {
-		if err := h.Read(b); err != nil {
-			return err
-		}
-		if h.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-		if h.StatusCode() == fasthttp.StatusSwitchingProtocols || interim == maxInterim {
-			return errInterim
-		}
+	if err := httpc.ReadFinalHead(b, h); err != nil {
+		return err
 	}
 	length := h.ContentLength()
 	if x.resp.SkipBody || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
@@ -131,7 +124,6 @@
 // if the connection was closed while idle: the target may have read the request
 // before it closed the connection.
 func (x *exchange) resultError(ctx context.Context, err error) error {
-	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case x.conn.sentBytes == 0:
 		return result.NewError(result.NotRun, reasonNoBytes, err)
@@ -145,8 +137,10 @@
 		return result.NewError(result.MayHaveRun, reasonUnidentified, err)
 	case errors.Is(err, errNoLength):
 		return result.NewError(result.MayHaveRun, reasonNoLength, err)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, httpc.ErrHeadTooLarge):
 		return result.NewError(result.MayHaveRun, reasonAnswerSize, err)
+	case errors.Is(err, httpc.ErrMalformed):
+		return result.NewError(result.MayHaveRun, reasonAnswerFormat, err)
 	}
 	return result.NewError(result.MayHaveRun, reasonTargetLost, err)
 }
--- /dev/null
+++ b/io/proxy/malformed_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hickoryrail/core/clock"
+	"hickoryrail/core/result"
+)
+
+// expectNoAnswer checks that an answer of the target is not passed on: neither by its gate,
+// nor by an ingress, whose caller gets 502 with nothing of the target in it.
+func expectNoAnswer(t *testing.T, answer string) {
+	t.Helper()
+	is := is.New(t)
+	s := newScriptedTarget(t, answer, true)
+	resp, _ := s.forward(t, false)
+	is.Equal(resp.Verdict, result.MayHaveRun)
+	is.Equal(resp.Status, 0)
+	is.Equal(len(resp.Headers), 0)
+	is.Equal(len(resp.Body), 0)
+
+	g := &Gateway{Self: "ingress", Incarnation: gateIncarnation, Clock: clock.NewSystem(), Dialect: customDialect()}
+	is.NoErr(g.Open())
+	is.NoErr(g.Announce(Announcement{Target: "t-1", Address: s.address, Slots: 2, Connections: 9}))
+	in := newCustomIngress(t, newFleet(t, 4), g)
+	got, body, err := send(http.DefaultClient, in, "/order/x", "cartons=3", "Call", "c-9")
+	is.NoErr(err)
+	is.Equal(got.StatusCode, http.StatusBadGateway)
+	is.Equal(got.Header.Get("Stamp"), "")
+	is.Equal(body, resp.Reason+"\n")
+}
+
+// TestInvalidStatus guards against an answer whose status HTTP does not define and that is
+// passed on, as a success or under that status, or is taken for an interim answer.
+func TestInvalidStatus(t *testing.T) {
+	const fields = "\r\nStamp: s\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok"
+	const final = "HTTP/1.1 200 OK" + fields
+	for name, answer := range map[string]string{
+		"zero":               "HTTP/1.1 000 None" + fields,
+		"zero, no phrase":    "HTTP/1.1 000" + fields,
+		"zero, HTTP/1.0":     "HTTP/1.0 000 None" + fields,
+		"zero, chunks":       "HTTP/1.1 000 None\r\nStamp: s\r\nCall: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"zero, until close":  "HTTP/1.1 000 None\r\nStamp: s\r\nCall: %s\r\n\r\nok",
+		"zero after interim": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None" + fields,
+		"one":                "HTTP/1.1 001 None" + fields,
+		"below interim":      "HTTP/1.1 099 None\r\nCall: %s\r\n\r\n" + final,
+		"zero before final":  "HTTP/1.1 000 None\r\nCall: earlier\r\nContent-Length: 0\r\n\r\n" + final,
+		"above failures":     "HTTP/1.1 600 None" + fields,
+		"largest":            "HTTP/1.1 999 None" + fields,
+		"two digits":         "HTTP/1.1 20 OK" + fields,
+		"four digits":        "HTTP/1.1 2000 OK" + fields,
+		"sign":               "HTTP/1.1 +20 OK" + fields,
+		"letters":            "HTTP/1.1 2OO OK" + fields,
+		"missing":            "HTTP/1.1 " + fields,
+	} {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, answer) })
+	}
+}
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -25,8 +25,6 @@
 	// dialMillis bounds connecting to the local target, which usually takes
 	// about 1 ms.
 	dialMillis = 500 * clock.Millis(1)
-	// maxInterim bounds the interim (1xx) responses before the final one.
-	maxInterim = 8
 	// maxStray bounds the responses to earlier requests before the one to this request.
 	maxStray = 8
 	// maxRefused bounds the ids that a connection remembers of the requests that were
@@ -47,6 +45,7 @@
 	reasonTargetLost   = "connection to the target was lost"
 	reasonNoLength     = "target's answer has no length"
 	reasonAnswerSize   = "target's answer is too large"
+	reasonAnswerFormat = "target's answer is malformed"
 	reasonGaveUp       = "caller gave up"
 	reasonUnexecuted   = "target did not run the request"
 	reasonUnidentified = "answer does not identify its request"
@@ -94,8 +93,6 @@
 	errConnClosed = errors.New("target closed a new connection")
 	// errNoLength reports a response whose body ends with its connection.
 	errNoLength = errors.New("answer has neither a length nor chunks")
-	// errInterim reports a response that does not become final.
-	errInterim = errors.New("answer has too many or unusable interim responses")
 	// errSeveralIDs reports a response that names the request and others.
 	errSeveralIDs = errors.New("answer has several request ids")
 	// errStray reports a target that keeps answering other requests.
