io/httpc, core/field: an answer with an invalid field name is not passed on

Seen by callers: a target in trouble sent a field whose name held a blank or a control character.

Cause: fasthttp accepts blanks within a name and removes those at its end, so that "Content-Length : 2" counts. Where a name begins with a line feed, it takes the end of the line for the end of the head and drops the rest of it: a length that stands there is gone and the body lasts until the connection ends. The proxy then left out all fields behind one whose name it cannot encode, and the node of the caller refused such an answer only if it came from another node.

Change: io/httpc checks every line of a head before it is parsed: a token, a colon, a value without control characters. Lines end with CR LF, and a folded value is refused, which RFC 9112, 5.2 leaves to a proxy: it cannot be told from a name that begins with a blank. The check of tokens and values moved from io/wire to core/field, where both use it. As each line ends where every parser ends it, fasthttp and the check cannot disagree about the head.

Measured: TestInvalidFieldName has all blanks and control characters at eight places of a name, TestInvalidHead 16 other heads. All pass now.

--- a/io/httpc/head.go
+++ b/io/httpc/head.go
@@ -9,6 +9,8 @@
 	"net/http"
 
 	"github.com/valyala/fasthttp"
+
+	"hickoryrail/core/field"
 )
 
 const (
@@ -55,7 +57,8 @@
 }
 
 // readHead reads one head. It is checked before fasthttp parses it, because fasthttp accepts
-// heads that are malformed and changes them: it reports the status 000 as 200.
+// heads that are malformed and changes them: it reports the status 000 as 200, removes the
+// blank at the end of a field name and drops the lines behind an empty one.
 func readHead(b *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	head, err := peekHead(b)
 	if err != nil {
@@ -114,10 +117,22 @@
 	return err
 }
 
-// checkHead returns an error unless the lines of a head are well formed.
+// checkHead returns an error unless every line of a head is well formed. A line feed or a
+// carriage return within a line is refused, so that no parser can end the line there. So is
+// a line that continues the value of the one before it (RFC 9112, 5.2): it cannot be told
+// from a field whose name begins with a blank.
 func checkHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, lineEnd)
-	return checkStatusLine(line)
+	line, rest, _ := bytes.Cut(head, lineEnd)
+	if err := checkStatusLine(line); err != nil {
+		return err
+	}
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		if !validField(line) {
+			return malformed("field", line)
+		}
+	}
+	return nil
 }
 
 // checkStatusLine returns an error unless line has a version and a status that HTTP defines.
@@ -127,7 +142,7 @@
 		return errNotHTTP
 	}
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	if !validStatus(status) {
+	if !validStatus(status) || field.HasControl(line) {
 		return malformed("status line", line)
 	}
 	return nil
@@ -148,6 +163,12 @@
 	return status >= minStatus && status <= maxStatus
 }
 
+// validField reports whether line is a token, a colon and a value.
+func validField(line []byte) bool {
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	return ok && field.IsToken(name) && !field.HasControl(value)
+}
+
 // malformed returns ErrMalformed with the start of the line that is malformed.
 func malformed(what string, line []byte) error {
 	return fmt.Errorf("%w: %s %q", ErrMalformed, what, line[:min(len(line), maxShownBytes)])
--- a/io/httpc/head_test.go
+++ b/io/httpc/head_test.go
@@ -70,3 +70,20 @@
 	_, err = readHeadOf("HTTP/1.1 000 None\r\n\r\n", &h)
 	is.True(errors.Is(err, ErrMalformed))
 }
+
+// TestFieldNames guards against a character that is refused in a field name although HTTP
+// allows it, or the reverse.
+func TestFieldNames(t *testing.T) {
+	const allowed = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	is := is.New(t)
+	for c := range 256 {
+		text := string([]byte{byte(c)})
+		if text == ":" {
+			continue // it ends the name
+		}
+		var h fasthttp.ResponseHeader
+		_, err := readHeadOf("HTTP/1.1 200 OK\r\nX"+text+"y: 1\r\n\r\n", &h)
+		is.Equal(err == nil, strings.Contains(allowed, text))
+		is.Equal(errors.Is(err, ErrMalformed), err != nil)
+	}
+}
--- a/io/proxy/malformed_test.go
+++ b/io/proxy/malformed_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -59,3 +61,56 @@
 		t.Run(name, func(t *testing.T) { expectNoAnswer(t, answer) })
 	}
 }
+
+// TestInvalidFieldName guards against an answer with a field name that holds a blank or a
+// control character and that is passed on: with that line, without the lines behind it, or
+// with a body whose length is mistaken because of it.
+func TestInvalidFieldName(t *testing.T) {
+	const blanks = " \t"
+	for c := range 256 {
+		if c >= ' ' && c != 0x7f && !strings.ContainsRune(blanks, rune(c)) {
+			continue
+		}
+		b := string([]byte{byte(c)})
+		for place, name := range map[string]string{
+			"first": b + "X-Other", "middle": "X-" + b + "Other", "last": "X-Other" + b, "twice": "X-Other" + b + b, "alone": b,
+		} {
+			t.Run(fmt.Sprintf("%q %s", b, place), func(t *testing.T) {
+				expectNoAnswer(t, "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\n"+name+": 1\r\nContent-Length: 2\r\n\r\nok")
+			})
+		}
+		for place, length := range map[string]string{
+			"length first": b + "Content-Length", "length middle": "Content" + b + "Length", "length last": "Content-Length" + b,
+		} {
+			t.Run(fmt.Sprintf("%q %s", b, place), func(t *testing.T) {
+				expectNoAnswer(t, "HTTP/1.1 200 OK\r\nCall: %s\r\n"+length+": 2\r\nStamp: s\r\n\r\nok and more")
+			})
+		}
+	}
+}
+
+// TestInvalidHead guards against the same in the other lines of a head, and in heads that
+// are not the one of the final answer to the request.
+func TestInvalidHead(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok"
+	for name, answer := range map[string]string{
+		"first line":         "HTTP/1.1 200 OK\r\n Stamp: s\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"chunks":             "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"failure":            "HTTP/1.1 500 No\r\nStamp: s\r\nCall: %s\r\nX Other: 1\r\nContent-Length: 2\r\n\r\nno",
+		"refusal":            "HTTP/1.1 503 Busy\r\nUnrun: 1\r\nCall: %s\r\nX Other: 1\r\nContent-Length: 0\r\n\r\n",
+		"interim":            "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + final,
+		"other request":      "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: earlier\r\nContent-Length : 0\r\n\r\n" + final,
+		"empty name":         "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
+		"no colon":           "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nX-Other\r\nContent-Length: 2\r\n\r\nok",
+		"folded value":       "HTTP/1.1 200 OK\r\nStamp: s\r\n more\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"folded field":       "HTTP/1.1 200 OK\r\nStamp: s\r\n\tX-Other: 1\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"line feeds":         "HTTP/1.1 200 OK\nStamp: s\nCall: %s\nContent-Length: 2\n\nok",
+		"one line feed":      "HTTP/1.1 200 OK\r\nStamp: s\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"empty line of feed": "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\n\nContent-Length: 2\r\n\r\nok",
+		"control in phrase":  "HTTP/1.1 200 O\x00K\r\nStamp: s\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"control in value":   "HTTP/1.1 200 OK\r\nStamp: s\x00\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+		"delete in value":    "HTTP/1.1 200 OK\r\nStamp: s\x7f\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, answer) })
+	}
+}
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -5,6 +5,7 @@
 
 	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
+	"hickoryrail/core/field"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
@@ -189,7 +190,7 @@
 
 // validMethod reports whether m is a short HTTP token.
 func validMethod(m string) bool {
-	return len(m) <= 32 && validToken(m)
+	return len(m) <= 32 && field.IsToken(m)
 }
 
 // validURI reports whether u is an origin-form request target without spaces and
@@ -205,26 +206,3 @@
 	}
 	return true
 }
-
-// validToken reports whether s is an HTTP token (RFC 9110, 5.6.2).
-func validToken[T string | []byte](s T) bool {
-	for i := range len(s) {
-		c := s[i]
-		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
-		digit := c >= '0' && c <= '9'
-		if !letter && !digit && !isTokenPunctuation(c) {
-			return false
-		}
-	}
-	return len(s) > 0
-}
-
-// isTokenPunctuation reports whether c is a punctuation character that an HTTP token
-// may contain.
-func isTokenPunctuation(c byte) bool {
-	switch c {
-	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
-		return true
-	}
-	return false
-}
--- a/io/wire/headers.go
+++ b/io/wire/headers.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"iter"
 	"strings"
+
+	"hickoryrail/core/field"
 )
 
 // Headers is a list of header fields in one block of bytes, so that copying,
@@ -22,7 +24,7 @@
 // Append appends a field. A name that is not a token, or a value that contains a line
 // feed, makes the list invalid, because it could be parsed as other fields.
 func (h *Headers) Append(name, value []byte) {
-	if !validToken(name) || bytes.IndexByte(value, fieldEnd) >= 0 {
+	if !field.IsToken(name) || bytes.IndexByte(value, fieldEnd) >= 0 {
 		*h = append(*h, fieldEnd)
 		return
 	}
@@ -35,8 +37,8 @@
 func (h Headers) All() iter.Seq2[[]byte, []byte] {
 	return func(yield func(name, value []byte) bool) {
 		for rest := []byte(h); len(rest) > 0; {
-			field, after, ok := bytes.Cut(rest, []byte{fieldEnd})
-			name, value, named := bytes.Cut(field, []byte{nameEnd})
+			line, after, ok := bytes.Cut(rest, []byte{fieldEnd})
+			name, value, named := bytes.Cut(line, []byte{nameEnd})
 			if !ok || !named || !yield(name, value) {
 				return
 			}
@@ -60,14 +62,9 @@
 func (h Headers) valid() bool {
 	fields, size := 0, 0
 	for name, value := range h.All() {
-		if !validToken(name) {
+		if !field.IsToken(name) || field.HasControl(value) {
 			return false
 		}
-		for _, c := range value {
-			if c < ' ' && c != '\t' || c == 0x7f {
-				return false
-			}
-		}
 		fields++
 		size += len(name) + len(value) + fieldDelimiters
 	}
