io/wire: an answer of another node has a final status

Seen by callers: an ingress passes on the status that the gate of another node names.

Cause: the check of an answer between nodes allowed 100 to 999.

Change: it allows 200 to 599, the final statuses of HTTP. An answer with another status is malformed: the request may have run, the caller gets 502. An answer with a field name or value that cannot be sent was refused already.

Measured: TestInvalidAnswerOfGate has eleven answers. With the former bound it ended after 60 s, when its client gave up waiting behind a status of 100; it passes now. Its four cases of fields pass with the former bound as well.

--- a/io/proxy/malformed_test.go
+++ b/io/proxy/malformed_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/result"
+	"hickoryrail/io/wire"
 )
 
 // expectNoAnswer checks that an answer of the target is not passed on: neither by its gate,
@@ -114,3 +116,36 @@
 		t.Run(name, func(t *testing.T) { expectNoAnswer(t, answer) })
 	}
 }
+
+// TestInvalidAnswerOfGate guards against an answer with an invalid status or field that an
+// ingress gets from a gate of another build and passes on.
+func TestInvalidAnswerOfGate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, newFakeTarget(t))
+	in := newIngress(t, f)
+	for _, c := range []struct {
+		status  int
+		headers wire.Headers
+	}{
+		{0, nil},
+		{99, nil},
+		{http.StatusContinue, nil},
+		{199, nil},
+		{600, nil},
+		{999, nil},
+		{1000, nil},
+		{http.StatusOK, wire.Headers("X Other:1\n")},
+		{http.StatusOK, wire.Headers("\tX:1\n")},
+		{http.StatusOK, wire.Headers("X:1\x00\n")},
+		{http.StatusOK, wire.Headers("\n")},
+	} {
+		answer := encode(wire.Answer{Response: &wire.Response{Verdict: result.Ran, Status: c.status, Headers: c.headers, Body: []byte("ok")}})
+		f.intercept = func(context.Context, *Gateway, []byte) ([]byte, error) { return answer, nil }
+		f.interceptFresh = f.intercept // the gate answers a void with the kept answer
+		resp, body, err := send(http.DefaultClient, in, "/order/x", "cartons=3")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+		is.Equal(resp.Header.Get(headerVerdict), result.MayHaveRun.String())
+		is.Equal(body, reasonMalformed+"\n")
+	}
+}
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -19,6 +19,8 @@
 	CallOverheadBytes = 48 << 10
 	// maxIDBytes bounds ids, names and reasons in a call.
 	maxIDBytes = 256
+	// minFinalStatus and maxStatus bound the status of a response, which is final.
+	minFinalStatus, maxStatus = 200, 599
 )
 
 type (
@@ -168,11 +170,18 @@
 
 // valid reports whether every field of the response is within its bounds.
 func (r *Response) valid() bool {
-	statusOK := r.Verdict != result.Ran && r.Status == 0 || r.Verdict == result.Ran && r.Status >= 100 && r.Status <= 999
-	return r.Verdict <= result.Ran && statusOK && len(r.Reason) <= maxIDBytes &&
+	return r.Verdict <= result.Ran && r.validStatus() && len(r.Reason) <= maxIDBytes &&
 		r.ContentLength >= 0 && r.Load.Free >= 0 && r.Load.Queued >= 0 && r.Headers.valid()
 }
 
+// validStatus reports whether the response has a final status exactly if it ran.
+func (r *Response) validStatus() bool {
+	if r.Verdict != result.Ran {
+		return r.Status == 0
+	}
+	return r.Status >= minFinalStatus && r.Status <= maxStatus
+}
+
 // valid reports whether every field of the request to void is within its bounds.
 func (v *Void) valid() bool {
 	return validID(v.ID) && v.RemainingMillis >= 0 && v.RemainingMillis <= model.MaxTimeoutMillis
