io/plat: an answer without a length is refused

Such an object can be the stored answer to an idempotency key, which a caller then gets cut.

Cause: net/http keeps such a name as another field, or drops the lines behind the line feed, and reports a body that ends with its connection. The end of the connection cannot tell a cut body from a whole one.

The statuses 000 and 099 and a tab in a name were handled already: a read is NotRun, a write MayHaveRun.

--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -56,6 +56,8 @@
 var (
 	// errProtocol reports a response that does not follow the protocol.
 	errProtocol = errors.New("response does not follow the protocol")
+	// errNoLength reports a response whose body ends with its connection.
+	errNoLength = errors.New("response has neither a length nor chunks")
 	// errTooLarge reports a body that exceeds MaxBodyBytes.
 	errTooLarge = errors.New("body exceeds 16 MiB")
 )
@@ -165,6 +167,9 @@
 		return response{}, notRun("platform is unreachable", err)
 	}
 	defer func() { _ = res.Body.Close() }() // the read of the body has reported any error
+	if !hasLength(res) {
+		return response{}, result.NewError(result.MayHaveRun, "platform answer is broken", errNoLength)
+	}
 	resp := response{status: res.StatusCode, revision: res.Header.Get(RevisionHeader)}
 	if resp.body, err = io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1)); err == nil && len(resp.body) > MaxBodyBytes {
 		err = errTooLarge
@@ -175,6 +180,12 @@
 	return resp, nil
 }
 
+// hasLength reports whether a cut body is noticed, which one that ends with its connection is
+// not. net/http also reports such a body if the name of the length's field is malformed.
+func hasLength(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Uncompressed
+}
+
 // initHTTP creates the HTTP client, which follows no redirects and uses no proxy.
 func (c *Client) initHTTP() {
 	timeout := c.TimeoutMillis
--- a/io/plat/client_test.go
+++ b/io/plat/client_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -174,3 +175,54 @@
 		})
 	}
 }
+
+// startRaw starts a server that sends answer to the first request of each connection and
+// closes the connection. It returns a client of the server.
+func startRaw(t *testing.T, answer string) *plat.Client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte(answer)) // the client may have gone away
+			}
+			_ = c.Close()
+		}
+	}()
+	return &plat.Client{URL: "http://" + l.Addr().String()}
+}
+
+// TestClientMalformedAnswers guards against an answer with a malformed head that is treated
+// as a known outcome, or whose body is cut without notice because its length was not read.
+func TestClientMalformedAnswers(t *testing.T) {
+	ctx := context.Background()
+	for name, answer := range map[string]string{
+		"status zero":        "HTTP/1.1 000 None\r\nRevision: 7\r\nContent-Length: 2\r\n\r\nok",
+		"status below 100":   "HTTP/1.1 099 None\r\nRevision: 7\r\nContent-Length: 2\r\n\r\nok",
+		"blank in length":    "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent Length: 9\r\n\r\nok",
+		"blank after length": "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length : 9\r\n\r\nok",
+		"line feed":          "HTTP/1.1 200 OK\r\nRevision: 7\r\n\nContent-Length: 9\r\n\r\nok",
+		"tab in name":        "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length\t: 9\r\n\r\nok",
+		"no length":          "HTTP/1.1 200 OK\r\nRevision: 7\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := startRaw(t, answer)
+			_, err := c.GetObject(ctx, "O")
+			is.True(err != nil)
+			_, err = c.ReadRow(ctx, "A")
+			is.Equal(result.Of(err), result.NotRun)
+			_, err = c.WriteRow(ctx, "A", []byte("1"), 0)
+			is.Equal(result.Of(err), result.MayHaveRun)
+			is.Equal(result.Of(c.PutObject(ctx, "O", []byte("1"))), result.MayHaveRun)
+		})
+	}
+}
