io/admin: an edit with an unexpected status may have been accepted

Cause: every status below 500 without a verdict in the body counted as a refusal, and a verdict in the body was believed with any status.

--- a/io/admin/client_test.go
+++ b/io/admin/client_test.go
@@ -101,3 +101,19 @@
 	_, err = closed.Submit(context.Background(), Edit{EditID: "e1", Operator: "ann", Configuration: configuration()})
 	is.Equal(result.Of(err), result.NotRun)
 }
+
+// TestFailureVerdicts guards against an answer without the status of a failure, which no node
+// sends, that is reported as NotRun.
+func TestFailureVerdicts(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{0, 99, 199, 204, 302, 399, 500, 503, 599, 600, 999} {
+		is.Equal(result.Of(failureOf(status, nil)), result.MayHaveRun)
+	}
+	for _, status := range []int{0, 99, 204, 600} {
+		is.Equal(result.Of(failureOf(status, []byte(`{"Error":"e","Verdict":"NotRun"}`))), result.MayHaveRun)
+	}
+	for _, status := range []int{400, 401, 404, 413, 429} {
+		is.Equal(result.Of(failureOf(status, nil)), result.NotRun)
+	}
+	is.Equal(result.Of(failureOf(503, []byte(`{"Error":"e","Verdict":"NotRun"}`))), result.NotRun)
+}
