io/httpc: chunks in an answer that is not HTTP/1.1 are refused

Cause: fasthttp takes any HTTP/x.y as an answer and knows chunks only in HTTP/1.1; in others the field is ignored and the body lasts until the connection ends, or for the length that stands beside it.

Change: an answer is of HTTP/1.0 or HTTP/1.1, and one of HTTP/1.0 has no Transfer-Encoding (RFC 9112, 6.1 calls its framing faulty); all else is malformed. The checks of a head moved from head.go to check.go.

--- a/io/httpc/head.go
+++ b/io/httpc/head.go
@@ -5,24 +5,13 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"net/http"
 
 	"github.com/valyala/fasthttp"
-
-	"hickoryrail/core/field"
 )
 
-const (
-	// maxInterim bounds the interim (1xx) answers before the final one.
-	maxInterim = 8
-	// statusDigits is the number of digits of a status, and minStatus and maxStatus the
-	// first and the last one (RFC 9110, 15).
-	statusDigits         = 3
-	minStatus, maxStatus = 100, 599
-	// maxShownBytes bounds what an error shows of a line.
-	maxShownBytes = 64
-)
+// maxInterim bounds the interim (1xx) answers before the final one.
+const maxInterim = 8
 
 var (
 	// ErrMalformed reports an answer whose head does not follow HTTP/1.1 (RFC 9112), so that
@@ -30,8 +19,6 @@
 	ErrMalformed = errors.New("head of the answer is malformed")
 	// ErrHeadTooLarge reports a head that does not fit into the reader's buffer.
 	ErrHeadTooLarge = errors.New("head of the answer is too large")
-	// errNotHTTP reports bytes that are not the start of an HTTP answer.
-	errNotHTTP = errors.New("bytes are not an HTTP answer")
 	// errInterim reports an answer that does not become final.
 	errInterim = errors.New("answer has too many or unusable interim answers")
 
@@ -116,60 +103,3 @@
 	}
 	return err
 }
-
-// checkHead returns an error unless every line of a head is well formed. A line feed or a
-// carriage return within a line is refused, so that no parser can end the line there. So is
-// a line that continues the value of the one before it (RFC 9112, 5.2): it cannot be told
-// from a field whose name begins with a blank.
-func checkHead(head []byte) error {
-	line, rest, _ := bytes.Cut(head, lineEnd)
-	if err := checkStatusLine(line); err != nil {
-		return err
-	}
-	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, lineEnd)
-		if !validField(line) {
-			return malformed("field", line)
-		}
-	}
-	return nil
-}
-
-// checkStatusLine returns an error unless line has a version and a status that HTTP defines.
-func checkStatusLine(line []byte) error {
-	version, rest, _ := bytes.Cut(line, []byte{' '})
-	if !bytes.HasPrefix(version, []byte("HTTP/")) {
-		return errNotHTTP
-	}
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	if !validStatus(status) || field.HasControl(line) {
-		return malformed("status line", line)
-	}
-	return nil
-}
-
-// validStatus reports whether text is a status that HTTP defines.
-func validStatus(text []byte) bool {
-	if len(text) != statusDigits {
-		return false
-	}
-	status := 0
-	for _, c := range text {
-		if c < '0' || c > '9' {
-			return false
-		}
-		status = 10*status + int(c-'0')
-	}
-	return status >= minStatus && status <= maxStatus
-}
-
-// validField reports whether line is a token, a colon and a value.
-func validField(line []byte) bool {
-	name, value, ok := bytes.Cut(line, []byte{':'})
-	return ok && field.IsToken(name) && !field.HasControl(value)
-}
-
-// malformed returns ErrMalformed with the start of the line that is malformed.
-func malformed(what string, line []byte) error {
-	return fmt.Errorf("%w: %s %q", ErrMalformed, what, line[:min(len(line), maxShownBytes)])
-}
--- a/io/proxy/malformed_test.go
+++ b/io/proxy/malformed_test.go
@@ -117,6 +117,48 @@
 	}
 }
 
+// TestInvalidVersion guards against an answer of a version in which its body has another end
+// than in HTTP/1.1, so that the caller gets the delimiters of its chunks as its body.
+func TestInvalidVersion(t *testing.T) {
+	const fields = " 200 OK\r\nStamp: s\r\nCall: %s\r\n"
+	const inChunks = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	for name, answer := range map[string]string{
+		"chunks in HTTP/1.0":            "HTTP/1.0" + fields + inChunks,
+		"chunks and length in HTTP/1.0": "HTTP/1.0" + fields + "Content-Length: 2\r\n" + inChunks,
+		"lower case in HTTP/1.0":        "HTTP/1.0" + fields + strings.ToLower(inChunks),
+		"chunks in HTTP/1.2":            "HTTP/1.2" + fields + inChunks,
+		"chunks in HTTP/2.0":            "HTTP/2.0" + fields + inChunks,
+		"HTTP/0.9":                      "HTTP/0.9" + fields + "Content-Length: 2\r\n\r\nok",
+		"HTTP/2.0":                      "HTTP/2.0" + fields + "Content-Length: 2\r\n\r\nok",
+		"two digits":                    "HTTP/1.10" + fields + "Content-Length: 2\r\n\r\nok",
+		"lower case":                    "http/1.1" + fields + "Content-Length: 2\r\n\r\nok",
+		"none":                          "HTTP/" + fields + "Content-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, answer) })
+	}
+}
+
+// TestTrailerIsNotPassedOn guards against a field behind the chunks of an answer, malformed or
+// not, that is passed on as one of its head or changes the body.
+func TestTrailerIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for _, line := range []string{"X-Other: 1", "X Other: 1", "X-Other : 1", "X\x01: 1", "\nX: 1", " X: 1", ": 1", "X", "Stamp: 2", "Content-Length: 1"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			resp, _ := newScriptedTarget(t, head+line+"\r\n\r\n", true).forward(t, false)
+			if resp.Verdict == result.MayHaveRun {
+				is.Equal(resp.Headers, nil)
+				return // refused
+			}
+			is.Equal(resp.Verdict, result.Ran)
+			is.Equal(string(resp.Body), "ok")
+			is.Equal(resp.Headers.Get("X-Other"), nil)
+			is.Equal(resp.Headers.Get("X Other"), nil)
+			is.Equal(string(resp.Headers.Get("Stamp")), "s")
+		})
+	}
+}
+
 // TestInvalidAnswerOfGate guards against an answer with an invalid status or field that an
 // ingress gets from a gate of another build and passes on.
 func TestInvalidAnswerOfGate(t *testing.T) {
