--- a/io/httpc/head.go
+++ b/io/httpc/head.go
@@ -26,8 +26,8 @@
 	headEnd = []byte("\r\n\r\n")
 )
 
-// ReadFinalHead reads the heads of the interim answers and of the final one, whose head is
-// then in h. It returns ErrMalformed, ErrHeadTooLarge or the error of the connection.
+// ReadFinalHead reads the heads of interim answers and that of the final one, which is then
+// in h. It returns ErrMalformed, ErrHeadTooLarge or the error of the connection.
 func ReadFinalHead(b *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for interim := 0; ; interim++ {
 		if err := readHead(b, h); err != nil {
@@ -43,6 +43,12 @@
 	}
 }
 
+// HasBody reports whether a body follows the final head, which is in resp.
+func HasBody(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return !resp.SkipBody && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // readHead reads one head. It is checked before fasthttp parses it, because fasthttp accepts
 // heads that are malformed and changes them: it reports the status 000 as 200, removes the
 // blank at the end of a field name and drops the lines behind an empty one.
--- a/io/httpc/transport.go
+++ b/io/httpc/transport.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -68,8 +67,7 @@
 	if err := ReadFinalHead(b, h); err != nil {
 		return err
 	}
-	status := h.StatusCode()
-	if resp.SkipBody || status == http.StatusNoContent || status == http.StatusNotModified {
+	if !HasBody(resp) {
 		return nil
 	}
 	inChunks := h.ContentLength() == chunked
--- a/io/plat/client_test.go
+++ b/io/plat/client_test.go
@@ -1,7 +1,6 @@
 package plat_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -176,28 +175,15 @@
 	}
 }
 
-// startRaw starts a server that sends answer to the first request of each connection and
-// closes the connection. It returns a client of the server.
+// startRaw starts a server that sends answer to each request, and returns its client.
 func startRaw(t *testing.T, answer string) *plat.Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	s := &stub.Raw{Answer: answer}
+	if err := s.Open(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = c.Write([]byte(answer)) // the client may have gone away
-			}
-			_ = c.Close()
-		}
-	}()
-	return &plat.Client{URL: "http://" + l.Addr().String()}
+	t.Cleanup(func() { _ = s.Close() })
+	return &plat.Client{URL: "http://" + s.Address()}
 }
 
 // TestClientMalformedAnswers guards against an answer with a malformed head that is treated
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -50,10 +50,10 @@
 	if err := httpc.ReadFinalHead(b, h); err != nil {
 		return err
 	}
-	length := h.ContentLength()
-	if x.resp.SkipBody || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
+	if !httpc.HasBody(x.resp) {
 		return nil
 	}
+	length := h.ContentLength()
 	if length == identity && !allowEOF {
 		return errNoLength
 	}
