io/proxy: a success whose signature is not forwarded is refused

Cause: the signature was checked in the answer as it was read; the fields that Connection lists are dropped afterwards.

Change: such an answer counts as one without a signature: 502, may have run.

Measured: 4 of 4 cases of TestUnsignedByConnection failed before; all pass, and the other tests of io/proxy.

--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -102,13 +102,15 @@
 }
 
 // isSigned reports whether a response is the target's own and complete: a success
-// must have SignatureHeader and no Content-Encoding.
+// must have SignatureHeader, which is not a field of the connection only, and no
+// Content-Encoding.
 func (d *Dialect) isSigned(status int, header func(name string) []byte) bool {
-	if d.SignatureHeader == "" {
+	success := status >= 200 && status < 300
+	if d.SignatureHeader == "" || !success {
 		return true
 	}
-	success := status >= 200 && status < 300
-	return !success || len(header(d.SignatureHeader)) > 0 && len(header("Content-Encoding")) == 0
+	forwarded := !listContains(header("Connection"), []byte(d.SignatureHeader))
+	return forwarded && len(header(d.SignatureHeader)) > 0 && len(header("Content-Encoding")) == 0
 }
 
 // requestID returns the id that responses to r repeat; empty if there is none.
--- a/io/proxy/malformed_test.go
+++ b/io/proxy/malformed_test.go
@@ -138,6 +138,16 @@
 	}
 }
 
+// TestUnsignedByConnection guards against a success that the caller gets without the target's
+// signature, because the answer lists the signature's field among those of the connection.
+func TestUnsignedByConnection(t *testing.T) {
+	for _, list := range []string{"Stamp", "stamp", "keep-alive, Stamp", "Stamp\r\nConnection: keep-alive"} {
+		t.Run(list, func(t *testing.T) {
+			expectNoAnswer(t, "HTTP/1.1 200 OK\r\nStamp: s\r\nCall: %s\r\nConnection: "+list+"\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
 // TestTrailerIsNotPassedOn guards against a field behind the chunks of an answer, malformed or
 // not, that is passed on as one of its head or changes the body.
 func TestTrailerIsNotPassedOn(t *testing.T) {
