core/syntax: one place for tokens, field values and statuses of HTTP

Cause: the last status, 599, stood in io/wire, io/admin, io/httpc and core/once, each with its own bounds; the check of a token went through a switch for every byte of a field name of every answer; two comments were incomplete and two hard to read.

What is accepted and refused is as before.

The tests of core/once, io/httpc, io/wire, io/proxy, io/plat, io/admin and the malformed answers of platform pass.

--- a/core/once/row.go
+++ b/core/once/row.go
@@ -10,6 +10,7 @@
 
 	"hickoryrail/core/ident"
 	"hickoryrail/core/sets"
+	"hickoryrail/core/syntax"
 )
 
 const (
@@ -27,8 +28,6 @@
 	maxRowBytes = 1 << 20
 	// headerStrings is the number of strings that encode one header: name and value.
 	headerStrings = 2
-	// minStatus and maxStatus bound the valid HTTP status codes.
-	minStatus, maxStatus = 100, 599
 )
 
 type (
@@ -135,7 +134,7 @@
 
 // check returns an error unless the outcome can be replayed.
 func (o *Outcome) check() error {
-	if o.Status < minStatus || o.Status > maxStatus {
+	if !syntax.IsStatus(o.Status) {
 		return fmt.Errorf("%w: status %d is not an HTTP status", errMalformedRow, o.Status)
 	}
 	if len(o.Body) > 0 && o.Object != "" {
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -18,6 +18,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
+	"hickoryrail/core/syntax"
 	"hickoryrail/io/keys"
 )
 
@@ -26,8 +27,6 @@
 	maxResponseBytes = 16 << 20
 	// callTimeoutMillis bounds a call; it is longer than the server's own timeout.
 	callTimeoutMillis = handlerTimeoutMillis + 5000
-	// maxStatus is the last status that HTTP defines.
-	maxStatus = 599
 )
 
 // Client calls the OperatorServer of a node. It is safe for concurrent use; its
@@ -188,7 +187,7 @@
 // failureOf returns the error for a response that reports one. A status that reports no
 // failure comes from no node, so the edit may have been accepted.
 func failureOf(status int, text []byte) error {
-	if status < http.StatusBadRequest || status > maxStatus {
+	if !syntax.IsFailureStatus(status) {
 		return result.NewError(result.MayHaveRun, "answer has an unexpected status", nil)
 	}
 	var f failure
--- a/io/httpc/check.go
+++ b/io/httpc/check.go
@@ -5,20 +5,19 @@
 	"errors"
 	"fmt"
 
-	"hickoryrail/core/field"
+	"hickoryrail/core/syntax"
 )
 
 const (
-	// statusDigits is the number of digits of a status, and minStatus and maxStatus the
-	// first and the last one (RFC 9110, 15).
-	statusDigits         = 3
-	minStatus, maxStatus = 100, 599
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
 	// maxShownBytes bounds what an error shows of a line.
 	maxShownBytes = 64
 )
 
 var (
-	// errNotHTTP reports bytes that are not the start of an HTTP answer.
+	// errNotHTTP reports bytes that are not the start of an HTTP answer. It is no
+	// ErrMalformed, because there is no answer whose head could be at fault.
 	errNotHTTP = errors.New("bytes are not an HTTP answer")
 
 	anyVersion           = []byte("HTTP/")
@@ -54,7 +53,7 @@
 		return nil, errNotHTTP
 	}
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), space)
-	if !validVersion(version) || !validStatus(status) || field.HasControl(line) {
+	if !validVersion(version) || !validStatus(status) || syntax.HasControl(line) {
 		return nil, malformed("status line", line)
 	}
 	return version, nil
@@ -77,14 +76,14 @@
 		}
 		status = 10*status + int(c-'0')
 	}
-	return status >= minStatus && status <= maxStatus
+	return syntax.IsStatus(status)
 }
 
 // validField reports whether line is a token, a colon and a value, and is allowed in a version.
 // HTTP/1.0 has no chunks, and an answer with them has no certain end (RFC 9112, 6.1).
 func validField(line, version []byte) bool {
 	name, value, ok := bytes.Cut(line, colon)
-	if !ok || !field.IsToken(name) || field.HasControl(value) {
+	if !ok || !syntax.IsToken(name) || syntax.HasControl(value) {
 		return false
 	}
 	return bytes.Equal(version, version11) || !bytes.EqualFold(name, transferEncoding)
--- a/io/httpc/head.go
+++ b/io/httpc/head.go
@@ -27,7 +27,8 @@
 )
 
 // ReadFinalHead reads the heads of interim answers and that of the final one, which is then
-// in h. It returns ErrMalformed, ErrHeadTooLarge or the error of the connection.
+// in h. It returns the error of the connection, ErrMalformed, ErrHeadTooLarge, or another
+// error for bytes that are not HTTP and for interim answers without an end.
 func ReadFinalHead(b *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for interim := 0; ; interim++ {
 		if err := readHead(b, h); err != nil {
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -180,8 +180,9 @@
 	return resp, nil
 }
 
-// hasLength reports whether a cut body is noticed, which one that ends with its connection is
-// not. net/http also reports such a body if the name of the length's field is malformed.
+// hasLength reports whether the end of the body is known, so that a cut one is an error. It is
+// not known for a body that ends with its connection, as net/http reads one whose length has a
+// malformed field name.
 func hasLength(res *http.Response) bool {
 	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Uncompressed
 }
--- a/io/wire/call.go
+++ b/io/wire/call.go
@@ -5,10 +5,10 @@
 
 	"hickoryrail/core/admit"
 	"hickoryrail/core/clock"
-	"hickoryrail/core/field"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/model"
 	"hickoryrail/core/result"
+	"hickoryrail/core/syntax"
 )
 
 const (
@@ -19,8 +19,6 @@
 	CallOverheadBytes = 48 << 10
 	// maxIDBytes bounds ids, names and reasons in a call.
 	maxIDBytes = 256
-	// minFinalStatus and maxStatus bound the status of a response, which is final.
-	minFinalStatus, maxStatus = 200, 599
 )
 
 type (
@@ -179,7 +177,7 @@
 	if r.Verdict != result.Ran {
 		return r.Status == 0
 	}
-	return r.Status >= minFinalStatus && r.Status <= maxStatus
+	return syntax.IsFinalStatus(r.Status)
 }
 
 // valid reports whether every field of the request to void is within its bounds.
@@ -199,7 +197,7 @@
 
 // validMethod reports whether m is a short HTTP token.
 func validMethod(m string) bool {
-	return len(m) <= 32 && field.IsToken(m)
+	return len(m) <= 32 && syntax.IsToken(m)
 }
 
 // validURI reports whether u is an origin-form request target without spaces and
--- a/io/wire/headers.go
+++ b/io/wire/headers.go
@@ -5,7 +5,7 @@
 	"iter"
 	"strings"
 
-	"hickoryrail/core/field"
+	"hickoryrail/core/syntax"
 )
 
 // Headers is a list of header fields in one block of bytes, so that copying,
@@ -24,7 +24,7 @@
 // Append appends a field. A name that is not a token, or a value that contains a line
 // feed, makes the list invalid, because it could be parsed as other fields.
 func (h *Headers) Append(name, value []byte) {
-	if !field.IsToken(name) || bytes.IndexByte(value, fieldEnd) >= 0 {
+	if !syntax.IsToken(name) || bytes.IndexByte(value, fieldEnd) >= 0 {
 		*h = append(*h, fieldEnd)
 		return
 	}
@@ -62,7 +62,7 @@
 func (h Headers) valid() bool {
 	fields, size := 0, 0
 	for name, value := range h.All() {
-		if !field.IsToken(name) || field.HasControl(value) {
+		if !syntax.IsToken(name) || syntax.HasControl(value) {
 			return false
 		}
 		fields++
