--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -54,17 +54,25 @@
 
 // newServer starts a server beside a node. It reports to the node once started.
 func newServer(n *node, id, service, zone string, slots int, work time.Duration) (*server, error) {
+	s, err := prepareServer(n, id, service, zone, slots, work)
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(s.listener, http.HandlerFunc(s.handle)) }() // ends with the process
+	go s.reportAll()
+	return s, nil
+}
+
+// prepareServer returns a server that listens and does not serve or report yet.
+func prepareServer(n *node, id, service, zone string, slots int, work time.Duration) (*server, error) {
 	l, err := net.Listen("tcp", n.application)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{
+	return &server{
 		id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, node: n, record: n.record,
 		work: work, listener: l,
-	}
-	go func() { _ = http.Serve(l, http.HandlerFunc(s.handle)) }() // ends with the process
-	go s.reportAll()
-	return s, nil
+	}, nil
 }
 
 // handle serves a liveness check or a request.
