--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -187,26 +187,34 @@
 	timeoutMillis         int
 }
 
-// putConfiguration writes a configuration with the routes of one host, in which each service
-// accepts up to 130 connections.
+// putConfiguration writes a configuration with the routes of callerHost.
 func (s *store) putConfiguration(version int, services []string, routes []route) error {
+	return s.putHosts(version, services, []virtualHost{{callerHost, routes}})
+}
+
+// putHosts writes a configuration in which each service accepts up to 130 connections.
+func (s *store) putHosts(version int, services []string, hosts []virtualHost) error {
 	type object = map[string]any
-	var listed, paths []object
+	var listed, entries []object
 	for _, name := range services {
 		listed = append(listed, object{"name": name, "health-path": "/healthz", "max-connections": 130, "protocol": "h1", "tls": false})
 	}
-	for i, r := range routes {
-		paths = append(paths, object{
-			"name": fmt.Sprintf("r-%d", i), "prefix": r.prefix, "kind": r.kind, "timeout-ms": r.timeoutMillis,
-			"target-latency-ms": r.timeoutMillis / 2, "priority": 1, "service": r.service, "max-attempts": 2,
-		})
+	for i, h := range hosts {
+		var paths []object
+		for j, r := range h.routes {
+			paths = append(paths, object{
+				"name": fmt.Sprintf("r-%d-%d", i, j), "prefix": r.prefix, "kind": r.kind, "timeout-ms": r.timeoutMillis,
+				"target-latency-ms": r.timeoutMillis / 2, "priority": 1, "service": r.service, "max-attempts": 2,
+			})
+		}
+		entries = append(entries, object{"host": h.host, "paths": paths})
 	}
 	body, err := json.Marshal(object{
 		"version": fmt.Sprintf("%08x", version), "services": listed,
 		"limits": object{
 			"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
 		},
-		"virtual-hosts": []object{{"host": callerHost, "paths": paths}},
+		"virtual-hosts": entries,
 	})
 	if err != nil {
 		return err
