--- a/review/stand2/logpipe.go
+++ b/review/stand2/logpipe.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
@@ -10,12 +11,18 @@
 )
 
 const (
-	// stopCallers is the number of requesters of the case "logpipe".
+	// stopCallers is the number of requesters of the case "logpipe". Each pauses for callerPause
+	// after a request, which gives 32 requests a second, the usual rate at a machine of
+	// sitaki-mesh (193 a second at 6 machines).
 	stopCallers = 6
+	callerPause = 65 * time.Millisecond
 	// stopWork is how long a request runs at its server.
 	stopWork = 120 * time.Millisecond
-	// missingRoute is a path for which there is no route.
-	missingRoute = "/missing/1"
+	// greySpells is the number of times that the servers fail greyShare of their requests, for
+	// greyTime each, which are the doses of srv_grey in sitaki-mesh.
+	greySpells = 4
+	greyShare  = 0.45
+	greyTime   = 6500 * time.Millisecond
 )
 
 func init() {
@@ -53,11 +60,17 @@
 		return false, err
 	}
 	var servers []*server
+	var grey atomic.Bool
 	for i, n := range b.nodes {
 		s, err := newServer(n, "i-orders-"+string(rune('1'+i)), "orders", "attica-a", 6, stopWork)
 		if err != nil {
 			return false, err
 		}
+		s.answer = func(w http.ResponseWriter, _ *http.Request) {
+			if grey.Load() && rand.Float64() < greyShare {
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+		}
 		servers = append(servers, s)
 	}
 	r, w, err := os.Pipe()
@@ -75,27 +88,27 @@
 		b.record.linef("the reader of the log pauses")
 		collector.paused.Store(true)
 	}
-	probeMissing(b, front)
-	return stopUnderLoad(b, front, servers), nil
+	return stopUnderLoad(b, front, servers, &grey), nil
 }
 
-// probeMissing sends requests on a route that never existed for three seconds. Each is a line
-// in the log of the node.
-func probeMissing(b *bed, n *node) {
-	c := newCaller(n, "probe")
-	count := 0
-	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		if o := c.do(http.MethodGet, missingRoute, "", time.Second); o.status == http.StatusNotFound {
-			count++
-		}
+// failSome makes the servers fail some of their requests for a few spells. Each failure is a
+// line in the log of the node that took the request. It returns once the last spell has been
+// over for stable-ms and a second more.
+func failSome(b *bed, grey *atomic.Bool) {
+	for range greySpells {
+		b.record.linef("the servers fail a share of %.2f of their requests", greyShare)
+		grey.Store(true)
+		time.Sleep(greyTime)
+		grey.Store(false)
+		b.record.linef("the servers fail no requests")
+		time.Sleep(time.Second)
 	}
-	c.close()
-	b.record.summaryf("%d requests on a route that never existed were answered with 404", count)
+	time.Sleep(stableTime)
 }
 
 // stopUnderLoad stops a node while its requesters go on, and reports whether it cut off
 // requests that count.
-func stopUnderLoad(b *bed, n *node, servers []*server) bool {
+func stopUnderLoad(b *bed, n *node, servers []*server, grey *atomic.Bool) bool {
 	var group sync.WaitGroup
 	var over atomic.Bool
 	outcomes := make([][]outcome, stopCallers)
@@ -108,22 +121,23 @@
 			for !over.Load() {
 				o := c.do(http.MethodPost, "/orders/1", "cartons=12", time.Second)
 				outcomes[i] = append(outcomes[i], o)
-				if o.err != nil || o.status != http.StatusOK {
-					time.Sleep(20 * time.Millisecond)
-				}
+				time.Sleep(callerPause)
 			}
 		}()
 	}
-	time.Sleep(time.Second)
+	failSome(b, grey)
 	stoppedAt := time.Now()
 	killed := n.stop()
 	endedAt := time.Now()
 	over.Store(true)
 	group.Wait()
 	b.record.summaryf("%.2f s after SIGTERM the process had ended; it had to be killed: %v", endedAt.Sub(stoppedAt).Seconds(), killed)
-	cut := 0
+	cut, failed := 0, 0
 	for _, list := range outcomes {
 		for _, o := range list {
+			if o.status == http.StatusInternalServerError {
+				failed++
+			}
 			if o.sent && o.err != nil && o.sentAt.After(stoppedAt.Add(3*time.Second)) && ranAt(servers, o.id) {
 				cut++
 				b.record.linef("%s: a server runs it, and its connection ended without an answer, %.3f s after SIGTERM it was sent",
@@ -131,6 +145,7 @@
 			}
 		}
 	}
+	b.record.summaryf("%d requests were failed by their servers before the stop", failed)
 	b.record.summaryf("%d requests that a server ran were cut off without an answer", cut)
 	return cut > 0
 }
