node: a target's departure outlives a restart of its node

Cause: a node acknowledged the departure and kept it in memory only. The restarted node took the first report for a start, whatever its sequence.

TestLateReportAfterRestart fails for a target that left and for one that drained (1 routable target, want 0). TestLateReportAfterKill, with processes, fails: "DRAIN: ... reaches ... 2.32 s after the acknowledgement of its drain".

Change: the departure (id and start time) is written to a row of the platform before the report is acknowledged, and read before a starting node puts a target in service by a report or a health check. It works because start times order a target's departure before its next start, and because the row, unlike the node, is there after the restart.

--- a/core/report/tracker.go
+++ b/core/report/tracker.go
@@ -73,9 +73,9 @@
 	return Renewed
 }
 
-// Known reports whether a target has reported and has not expired since.
-func (t *Tracker) Known() bool {
-	return t.known
+// Accepting reports whether there is a present target that accepts new work.
+func (t *Tracker) Accepting() bool {
+	return t.known && !t.current.Draining && !t.current.Leaving
 }
 
 // Expire removes the present target, whose reports have stopped, so that its next report
--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -77,6 +77,10 @@
 		began time.Time
 		// holds holds the hold of each wait for a change.
 		holds []clock.Millis
+		// departures holds the departure rows, and prober is that of the nodes; it is set
+		// before they start.
+		departures *fakeDepartures
+		prober     Prober
 	}
 
 	// nodeSource is the platform as one node's source.
@@ -289,7 +293,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, began: time.Now(), seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{})}
+	return &fakePlatform{release: r, position: feed.Position{Revision: 1}, releaseRevision: 1, log: io.Discard, began: time.Now(), seeds: make(map[ident.NodeID]member.Seed), changed: make(chan struct{}), departures: &fakeDepartures{}}
 }
 
 // start starts a hosted node, which the test has to stop.
@@ -310,8 +314,11 @@
 		t.Fatal(err)
 	}
 	s.Limits.LinkBitsPerSecond = h.linkBits
+	if h.prober != nil {
+		s.TargetEndpoint = "127.0.0.1:9"
+	}
 	n, err := NewHosted(Hosted{
-		Settings: s, UsageCaps: h.usageCaps, Dialect: h.dialect, Revocation: h.revocation, proofClock: h.proofClock, Source: nodeSource{h, id}, Directory: h, Statuses: h, Rollouts: h.rollouts,
+		Settings: s, UsageCaps: h.usageCaps, Dialect: h.dialect, Revocation: h.revocation, proofClock: h.proofClock, Source: nodeSource{h, id}, Directory: h, Statuses: h, Departures: h.departures, Prober: h.prober, Rollouts: h.rollouts,
 		Retries: retry.WindowBudget{Fixed: 9, WindowMillis: clock.Second, Nodes: 1},
 		Endpoint: func(c Control) Endpoint {
 			h.mu.Lock()
--- a/io/node/finder.go
+++ b/io/node/finder.go
@@ -36,15 +36,17 @@
 	logger  log.Interface
 }
 
-// run probes until the target is known, findTimeoutMillis have passed or ctx ends.
+// run probes until a target accepts work, until probing is not needed any more, or until
+// ctx ends.
 func (f *finder) run(ctx context.Context) error {
 	if f.address == "" || f.prober == nil {
 		return nil
 	}
 	deadline := time.Now().Add(findTimeoutMillis.Duration())
 	interval := findDelay
-	for time.Now().Before(deadline) && sleep(ctx, interval) && !f.localTarget.known() {
+	for f.needed(deadline) && sleep(ctx, interval) && !f.localTarget.accepting() {
 		interval = findInterval
+		f.localTarget.departures.await()
 		f.fleet.rollouts.awaitOrders()
 		if f.fleet.rollouts.hasOrder() {
 			return ctx.Err() // a probe does not tell the version of the target, and its next report does
@@ -56,6 +58,12 @@
 	return ctx.Err()
 }
 
+// needed reports whether to go on probing: until the deadline, and as long as reports are
+// refused because the departure of an earlier target is not read.
+func (f *finder) needed(deadline time.Time) bool {
+	return time.Now().Before(deadline) || !f.localTarget.departures.isKnown()
+}
+
 // probe sends one probe and reports the target that answers.
 func (f *finder) probe(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMillis.Duration())
@@ -66,10 +74,10 @@
 		return
 	}
 	r.Announcement.Service, r.Announcement.Address = f.service, f.address
-	if f.localTarget.known() {
+	if f.localTarget.accepting() {
 		return
 	}
-	if err := f.localTarget.Report(r); err != nil {
+	if err := f.localTarget.handle(r); err != nil {
 		f.logger.WithError(err).Warn("report of the probed target was refused")
 	}
 }
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -35,11 +35,12 @@
 )
 
 const (
-	serviceSource   kernel.Name = "release source"
-	serviceEndpoint kernel.Name = "platform endpoint"
-	serviceFinder   kernel.Name = "target finder"
-	serviceCaps     kernel.Name = "usage caps"
-	serviceRollouts kernel.Name = "rollouts"
+	serviceSource     kernel.Name = "release source"
+	serviceEndpoint   kernel.Name = "platform endpoint"
+	serviceFinder     kernel.Name = "target finder"
+	serviceCaps       kernel.Name = "usage caps"
+	serviceRollouts   kernel.Name = "rollouts"
+	serviceDepartures kernel.Name = "departures"
 
 	// hostedRenewalTimeoutMillis is the time without a report after which a target is
 	// removed. A report may arrive seconds late; a target that ends without a leave
@@ -111,6 +112,8 @@
 		Directory  plat.Directory
 		// Statuses holds the status rows of rollouts; required if Rollouts is set.
 		Statuses plat.Statuses
+		// Departures holds the departures of targets; nil keeps none beyond a restart.
+		Departures plat.Departures
 		// Prober identifies the local target when the node starts; nil disables probing.
 		Prober Prober
 		// Endpoint returns the server on which the node receives calls of the platform
@@ -127,8 +130,9 @@
 
 	// Control is the interface of a node for its endpoint.
 	Control interface {
-		// Report handles a report of the local target. After an error the state is
-		// unchanged, and the endpoint must not acknowledge the report.
+		// Report handles a report of the local target. After an error the endpoint must not
+		// acknowledge the report. The state is unchanged then, except that a target that
+		// departs is out of service before its departure is kept on the platform.
 		Report(r admin.Report) error
 		// Ready reports whether the node may serve callers.
 		Ready() bool
@@ -177,6 +181,7 @@
 	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
+	n.localTarget.departures = newDepartures(h.Departures, s.Node, n.logger, n.localTarget.restoreDeparture)
 	if err := n.wireCaps(h.UsageCaps, random); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
 	}
@@ -192,7 +197,7 @@
 	n.adminServer = &admin.StatusServer{Listen: s.AdminAddress, Metrics: n.registry, Source: n.status}
 	w := &watcher{
 		clock: n.clock, source: h.Source, directory: h.Directory, fleet: n.fleet, region: s.Region, log: n.decisions, logger: n.logger, metrics: n.metrics,
-		startSourceMillis: s.Spread.StartSourceMillis, random: splitRandom(random), self: n.directoryEntry, readRequest: make(chan struct{}, 1),
+		departures: n.localTarget.departures, startSourceMillis: s.Spread.StartSourceMillis, random: splitRandom(random), self: n.directoryEntry, readRequest: make(chan struct{}, 1),
 	}
 	n.fleet.needSource, w.freshness = w.requestRead, n.fleet.freshness
 	f := &finder{localTarget: n.localTarget, fleet: n.fleet, prober: h.Prober, service: s.Service, address: s.TargetEndpoint, logger: n.logger}
@@ -298,6 +303,14 @@
 	return []service{{serviceRollouts, &unit{run: n.fleet.rollouts.run}}}
 }
 
+// departureServices returns the service that keeps departures, if they are kept.
+func (n *Node) departureServices() []service {
+	if n.localTarget.departures == nil {
+		return nil
+	}
+	return []service{{serviceDepartures, &unit{run: n.localTarget.departures.run}}}
+}
+
 // registerHosted registers the services with the kernel in the order of their start.
 func (n *Node) registerHosted(w *watcher, f *finder, e Endpoint) error {
 	return n.registerAll(slices.Concat([]service{
@@ -308,7 +321,7 @@
 		{serviceIngress, &unit{open: adaptOpen(n.ingress.Open), run: n.ingress.Run}},
 		{serviceFleet, &unit{open: n.openFleet, run: n.fleet.run, drain: n.fleet.leave}},
 		{serviceCaps, &unit{run: n.runCaps}},
-	}, n.rolloutServices(), []service{
+	}, n.rolloutServices(), n.departureServices(), []service{
 		{serviceSource, &unit{run: w.run}},
 		{serviceRenewal, &unit{run: n.localTarget.run, drain: n.drainRequests}},
 		{serviceFinder, &unit{run: f.run}},
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -34,6 +34,7 @@
 	w.listNodes(ctx)
 	relisted := true
 	for sleep(ctx, directoryCheckMillis.Duration()) {
+		w.departures.checkAt(ident.Era(w.era.Load()))
 		if w.entry.Due(ident.Era(w.era.Load())) {
 			relisted = !w.register(ctx, random)
 		}
--- a/io/node/watcher.go
+++ b/io/node/watcher.go
@@ -68,8 +68,9 @@
 	logger  *log.Logger
 	metrics *metrics
 	random  *rand.Rand
-	// freshness is nil unless revocation is strict.
-	freshness *freshness
+	// freshness is nil unless revocation is strict, and departures if none are kept.
+	freshness  *freshness
+	departures *departures
 	// self returns the entry of this node in the directory.
 	self func() member.Seed
 	// startSourceMillis is the time after the start from which the floor may come from
--- a/io/plat/source.go
+++ b/io/plat/source.go
@@ -8,6 +8,7 @@
 	"hickoryrail/core/feed"
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
+	"hickoryrail/core/report"
 )
 
 type (
@@ -32,6 +33,17 @@
 		WriteStatus(ctx context.Context, service ident.ServiceName, s canary.Status) error
 	}
 
+	// Departures keeps, for each node, the last departure of a target beside it. Errors are
+	// *result.Error.
+	Departures interface {
+		// ReadDeparture returns the departure of a node's row and the revision of the row;
+		// revision 0 means that there is no row.
+		ReadDeparture(ctx context.Context, node ident.NodeID) (report.Departure, ident.Revision, error)
+		// WriteDeparture writes the row of a node if its revision is ifRevision. If the
+		// condition fails, it returns ErrConflict.
+		WriteDeparture(ctx context.Context, node ident.NodeID, d report.Departure, ifRevision ident.Revision) error
+	}
+
 	// Directory is the list of nodes by which they discover each other. Errors are
 	// *result.Error.
 	Directory interface {
