node: files of one job each for reports, departures and the hosted run

Cause: localtarget.go held the reports of targets beside their state, hosted.go the run of a node beside its assembly, and departures.go the calls to the platform beside what reports ask for. Change: targetreport.go, departurerow.go and hostedrun.go; code is moved, and a constant channel is replaced by a nil one. Result: go vet, staticcheck and the tests of io/node that were run pass as before.

--- a/io/node/departures.go
+++ b/io/node/departures.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -15,8 +14,6 @@
 )
 
 const (
-	// departureCallMillis bounds a call to the platform about the departure row.
-	departureCallMillis = 2 * clock.Second
 	// departureAwaitMillis bounds how long a report waits for the first read of the row, and
 	// departureSaveMillis how long it waits for the write. A target waits 1 s for the
 	// acknowledgement of a report.
@@ -25,9 +22,6 @@
 	// departureTrustMillis is the time without a first read from which on reports count
 	// without it. A report may arrive seconds late.
 	departureTrustMillis = 8 * clock.Second
-	// minDepartureBackoff and maxDepartureBackoff bound the delay after a failed call.
-	minDepartureBackoff = 100 * clock.Millis(1)
-	maxDepartureBackoff = 1 * clock.Second
 )
 
 var (
@@ -37,12 +31,6 @@
 	// errDepartureUnsaved indicates a departure that took effect at the node and would be
 	// forgotten if the node were restarted.
 	errDepartureUnsaved = errors.New("departure of the target is not written yet")
-	// closedChannel stands for a departure that does not have to be written.
-	closedChannel = func() chan struct{} {
-		c := make(chan struct{})
-		close(c)
-		return c
-	}()
 )
 
 // departures keeps the last departure of a target beside the node on the platform, so that
@@ -93,114 +81,6 @@
 	}
 }
 
-// run reads the row and writes later departures to it until ctx ends.
-func (d *departures) run(ctx context.Context) error {
-	trust := time.AfterFunc(departureTrustMillis.Duration(), d.setKnown)
-	defer trust.Stop()
-	backoff := minDepartureBackoff
-	for {
-		if !d.update(ctx) {
-			sleep(ctx, backoff.Duration())
-			backoff = min(2*backoff, maxDepartureBackoff)
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			continue
-		}
-		backoff = minDepartureBackoff
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-d.wake:
-		}
-	}
-}
-
-// update makes the row hold the latest departure and reports success.
-func (d *departures) update(ctx context.Context) bool {
-	if d.takeCompare() {
-		d.current = false
-	}
-	if !d.current && !d.read(ctx) {
-		return false
-	}
-	latest := d.latestDeparture()
-	if latest.Known() && latest != d.stored {
-		return d.write(ctx, latest)
-	}
-	d.setWritten(latest)
-	return true
-}
-
-// takeCompare reports whether the row has to be read again, and ends the request for it.
-func (d *departures) takeCompare() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	compare := d.compare
-	d.compare = false
-	return compare
-}
-
-// latestDeparture returns the departure that the row has to hold.
-func (d *departures) latestDeparture() report.Departure {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.latest
-}
-
-// write writes a departure to the row and reports success.
-func (d *departures) write(ctx context.Context, p report.Departure) bool {
-	ctx, cancel := context.WithTimeout(ctx, departureCallMillis.Duration())
-	defer cancel()
-	d.current = false // whatever the outcome, the revision is not known any more
-	if err := d.rows.WriteDeparture(ctx, d.node, p, d.revision); err != nil {
-		d.failed(err)
-		return false
-	}
-	d.failing = false
-	d.setWritten(p)
-	return true
-}
-
-// failed logs the first of several failed calls.
-func (d *departures) failed(err error) {
-	if !d.failing {
-		d.logger.WithError(err).Warn("departure of the target is not read or written yet")
-	}
-	d.failing = true
-}
-
-// read reads the row and reports success.
-func (d *departures) read(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, departureCallMillis.Duration())
-	defer cancel()
-	stored, revision, err := d.rows.ReadDeparture(ctx, d.node)
-	if err != nil {
-		d.failed(err)
-		return false
-	}
-	d.stored, d.revision, d.current, d.failing = stored, revision, true, false
-	if !d.restored {
-		d.restored = true
-		d.restoreStored()
-		d.setKnown()
-	}
-	return true
-}
-
-// restoreStored takes the departure that the row held at the start, if it holds one.
-func (d *departures) restoreStored() {
-	if !d.stored.Known() {
-		return
-	}
-	d.mu.Lock()
-	if !d.latest.Known() {
-		d.latest = d.stored
-	}
-	d.mu.Unlock()
-	d.restore(d.stored)
-}
-
 // await waits for a short time for the first read and reports whether reports count.
 func (d *departures) await() bool {
 	if d.isKnown() {
@@ -227,11 +107,11 @@
 	}
 }
 
-// set makes p the latest departure, which run writes; a p that is not Known changes
-// nothing. The returned channel is closed once it is written.
+// set makes p the latest departure, which run writes. The returned channel is closed once
+// it is written; it is nil if nothing has to be written, because p is not Known.
 func (d *departures) set(p report.Departure) <-chan struct{} {
 	if d == nil || !p.Known() {
-		return closedChannel
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -245,8 +125,12 @@
 // save makes p the latest departure, waits for a short time until it is written, and
 // reports whether it is. If it is not, run goes on trying.
 func (d *departures) save(p report.Departure) bool {
+	written := d.set(p)
+	if written == nil {
+		return true
+	}
 	select {
-	case <-d.set(p):
+	case <-written:
 		return true
 	case <-time.After(departureSaveMillis.Duration()):
 		return false
@@ -279,20 +163,6 @@
 	}
 }
 
-// setWritten records that the row holds p.
-func (d *departures) setWritten(p report.Departure) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.latest != p {
-		return
-	}
-	select {
-	case <-d.written:
-	default:
-		close(d.written)
-	}
-}
-
 // setKnown makes reports count.
 func (d *departures) setKnown() {
 	d.knownOnce.Do(func() { close(d.known) })
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
-	"runtime/debug"
 	"slices"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"hickoryrail/core/admit"
@@ -22,7 +19,6 @@
 	"hickoryrail/core/retry"
 	"hickoryrail/core/route"
 	"hickoryrail/core/spread"
-	"hickoryrail/core/stop"
 	"hickoryrail/io/admin"
 	"hickoryrail/io/conf"
 	"hickoryrail/io/frame"
@@ -49,9 +45,6 @@
 	// hostedDomainFactor is the DomainFactor of the picker. It is high because the
 	// platform bills traffic between failure domains.
 	hostedDomainFactor = 3
-	// hostedGCPercent is the growth of the heap between collections. It is low because
-	// memory beside a target costs more than processor time.
-	hostedGCPercent = 30
 	// hostedKeptBytes bounds the responses that the gateway keeps. It holds those of 3 s
 	// at 20 actions/s of 5 KB, which is longer than a caller of an action waits for a
 	// response.
@@ -74,9 +67,6 @@
 	// hostedLagMillis is the LagMillis of a hosted node: half of the time in which a
 	// release must be in force.
 	hostedLagMillis = 1 * clock.Second
-	// stopAdmitMillis is how long the gate of a stopping node still admits calls after
-	// the announcement of the stop, for nodes that have not received it yet.
-	stopAdmitMillis = 500 * clock.Millis(1)
 	// hostedLingerMillis is how long a stopping ingress waits for callers to use their
 	// open connections once more. It is short because the readiness check has failed since
 	// the start of the lame-duck period, so that callers already use other nodes.
@@ -329,41 +319,3 @@
 		{serviceEndpoint, &unit{open: adaptOpen(e.Open), run: e.Run, drain: e.Drain}},
 	}))
 }
-
-// RunHosted runs a node until ctx ends. The node then reports that it is not ready, goes
-// on serving for a lame-duck period, and stops gracefully.
-func RunHosted(ctx context.Context, h Hosted, output io.Writer) error {
-	debug.SetGCPercent(hostedGCPercent)
-	n, err := NewHosted(h, output)
-	if err != nil {
-		return err
-	}
-	debug.SetMemoryLimit(int64(n.memory.SoftLimit))
-	if err := n.Start(ctx); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	n.stopping.Store(true)
-	plan := stop.NewPlan(h.Settings.Stop.LameDuckMillis, h.Settings.Stop.GraceMillis, h.KillMillis)
-	n.logger.WithFields(log.Fields{
-		"Node": string(n.settings.Node), "LameDuckMillis": float64(plan.LameDuckMillis), "FinishMillis": float64(plan.FinishMillis),
-	}).Info("node is asked to stop")
-	n.ingress.BeginStop(plan)
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), plan.FinishMillis.Duration())
-	defer cancel()
-	n.lameDuck(grace, plan.LameDuckMillis)
-	if err := n.Stop(grace); !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return nil // the time for a graceful stop is over, which is not an error
-}
-
-// lameDuck goes on serving callers and other nodes for d. stopAdmitMillis before the end
-// it announces that the local target is draining, so that other nodes route their calls
-// elsewhere. The target is out of service from then until the node starts again, so this
-// part is kept short.
-func (n *Node) lameDuck(ctx context.Context, d clock.Millis) {
-	sleep(ctx, max(d-stopAdmitMillis, 0).Duration())
-	n.localTarget.announceDraining()
-	sleep(ctx, min(d, stopAdmitMillis).Duration())
-}
