node: a repeated departure is not acknowledged before it is kept

A repeated DELETE counts as stale, and stale reports were acknowledged at once, also while the departure could not be written. A restart of the node would have forgotten an acknowledged departure. Change: each report waits for the departure of the present target. A repeated one ends the delay after a failed write, which was up to 1 s, longer than a report waits.

--- a/io/node/departures.go
+++ b/io/node/departures.go
@@ -117,7 +117,11 @@
 	defer d.mu.Unlock()
 	if d.latest != p {
 		d.latest, d.written = p, make(chan struct{})
-		d.request()
+	}
+	select {
+	case <-d.written:
+	default:
+		d.request() // also for a repeated report, which ends the delay after a failed call
 	}
 	return d.written
 }
--- a/io/node/departures_test.go
+++ b/io/node/departures_test.go
@@ -179,7 +179,8 @@
 	rows.set(func() { rows.down = true })
 	began := time.Now()
 	is.True(errors.Is(h.controls[0].Report(leavingReport("t")), errDepartureUnsaved))
-	is.True(time.Since(began) < time.Second) // the target waits 1 s
+	is.True(time.Since(began) < time.Second)                                          // the target waits 1 s
+	is.True(errors.Is(h.controls[0].Report(leavingReport("t")), errDepartureUnsaved)) // repeated
 	is.Equal(n.RoutableTargets(), 0)
 	rows.set(func() { rows.down, rows.losesAnswers = false, true })
 	await(t, "the departure", func() bool { return rows.holds(left) })
--- a/io/node/targetreport.go
+++ b/io/node/targetreport.go
@@ -44,15 +44,12 @@
 	return nil
 }
 
-// apply applies a report and returns the departure that it causes or repeats, if any.
+// apply applies a report and returns the departure of the present target, if it departs.
 func (t *localTarget) apply(r admin.Report) (report.Departure, error) {
 	t.reportMu.Lock()
 	defer t.reportMu.Unlock()
-	effect := t.tracker.Apply(r.Status)
-	if err := t.perform(effect, r); err != nil || effect == report.Stale {
-		return report.Departure{}, err
-	}
-	return t.tracker.Departure(), nil
+	err := t.perform(t.tracker.Apply(r.Status), r)
+	return t.tracker.Departure(), err
 }
 
 // perform performs the effect of a report. The caller holds reportMu.
