node: a restarted node without a release trusts the first report of its target

Change: without a path, or where no health check is made, reports count until the departures are read; a departure that is read then drains the target.

--- a/io/node/departures_test.go
+++ b/io/node/departures_test.go
@@ -166,6 +166,25 @@
 	stopNode(t, n)
 }
 
+// TestStartWithoutHealthPath guards against a target that gets no requests because a
+// restarted node can neither read the departures nor ask for its health, and against a
+// departed one that goes on getting them once the departures are read.
+func TestStartWithoutHealthPath(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	h.prober = &fakeProber{}
+	h.departures.row, h.departures.revision, h.departures.down = report.Departure{Target: "t", StartedAt: 1}, 1, true
+	n, _ := h.start(t, "a")
+	await(t, "the release", n.Ready)
+	began := time.Now()
+	is.NoErr(h.controls[0].Report(targetReport("t", "127.0.0.1:9", 2)))
+	is.True(time.Since(began) < time.Second) // the target waits 1 s
+	is.Equal(n.RoutableTargets(), 1)
+	h.departures.set(func() { h.departures.down = false })
+	await(t, "the departure", func() bool { return n.RoutableTargets() == 0 })
+	stopNode(t, n)
+}
+
 // TestDepartureIsKept guards against a departure that is acknowledged and not kept, because
 // the platform did not answer, lost its answer or was restored from an older copy, and
 // against a target that gets requests meanwhile.
--- a/io/node/finder.go
+++ b/io/node/finder.go
@@ -30,8 +30,7 @@
 	fleet       *fleet
 	prober      Prober
 	service     ident.ServiceName
-	// address is host:port of the target's server; empty if it is not known, which
-	// disables probing.
+	// address is host:port of the target's server.
 	address string
 	logger  log.Interface
 }
@@ -39,14 +38,13 @@
 // run probes until a target accepts work, until probing is not needed any more, or until
 // ctx ends.
 func (f *finder) run(ctx context.Context) error {
-	if f.address == "" || f.prober == nil {
+	if !f.localTarget.probed {
 		return nil
 	}
 	deadline := time.Now().Add(findTimeoutMillis.Duration())
-	interval := findDelay
-	for f.needed(deadline) && sleep(ctx, interval) && !f.localTarget.accepting() {
-		interval = findInterval
-		f.localTarget.departures.await()
+	sleep(ctx, findDelay)
+	f.localTarget.departures.await()
+	for f.needed(deadline) && !f.localTarget.accepting() {
 		f.fleet.rollouts.awaitOrders()
 		if f.fleet.rollouts.hasOrder() {
 			return ctx.Err() // a probe does not tell the version of the target, and its next report does
@@ -54,6 +52,9 @@
 		if path, ok := f.fleet.healthPath(f.service); ok {
 			f.probe(ctx, path)
 		}
+		if !sleep(ctx, findInterval) {
+			break
+		}
 	}
 	return ctx.Err()
 }
--- a/io/node/hosted.go
+++ b/io/node/hosted.go
@@ -171,6 +171,7 @@
 	}
 	n.wireHostedDataPath(&h, random)
 	n.wireHostedFleet(random)
+	n.localTarget.probed = h.Prober != nil && s.TargetEndpoint != ""
 	n.localTarget.departures = newDepartures(h.Departures, s.Node, n.logger, n.localTarget.restoreDeparture)
 	if err := n.wireCaps(h.UsageCaps, random); err != nil {
 		return nil, eris.Wrap(err, "node: metrics")
--- a/io/node/localtarget.go
+++ b/io/node/localtarget.go
@@ -30,6 +30,8 @@
 	log     logs.Sink
 	// departures keeps the departures of targets on the platform; nil keeps none.
 	departures *departures
+	// probed is set if a finder makes health checks of the target.
+	probed bool
 	// renewalTimeout is the time without a renewal after which the target is removed.
 	renewalTimeout clock.Millis
 
--- a/io/node/targetreport.go
+++ b/io/node/targetreport.go
@@ -17,10 +17,10 @@
 
 // Report handles a numbered report of a target. Late and repeated ones have no effect. A
 // report that would start a target is refused with errDeparturesUnread while it is not known
-// whether that target had left before the node was restarted.
+// whether that target had left before the node was restarted, and a health check can tell.
 func (t *localTarget) Report(r admin.Report) error {
 	t.fleet.rollouts.awaitOrders()
-	if !t.departures.await() && !r.Draining && !r.Leaving && !t.accepting() {
+	if !r.Draining && !r.Leaving && !t.accepting() && t.needsProbe(r.Announcement.Service) {
 		t.log.Record(logs.Decision{
 			At: t.clock.Now(), Kind: logs.Member, Service: r.Announcement.Service, Target: r.Target, Reason: reasonDeparturesUnread,
 		})
@@ -29,6 +29,19 @@
 	return t.handle(r)
 }
 
+// needsProbe reports whether a target of a service has to pass a health check before it is
+// put in service: departures cannot be read, and the node makes health checks. Without a
+// release, and thus a path for them, reports are trusted until departures are read: callers
+// through other nodes should not have to wait for the release. They are also trusted during
+// a rollout, for which a health check tells too little.
+func (t *localTarget) needsProbe(service ident.ServiceName) bool {
+	if t.departures.await() || !t.probed || t.fleet.rollouts.hasOrder() {
+		return false
+	}
+	_, ok := t.fleet.healthPath(service)
+	return ok
+}
+
 // handle applies a report. A departure takes effect at once, and errDepartureUnsaved is
 // returned as long as it is not on the platform: what is acknowledged must hold after a
 // restart of the node, too. The target repeats its report, or exits without an
