--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -52,6 +52,7 @@
 var cases = map[string]func(w *world) (bool, error){
 	"collector-ends":     collectorEnds,
 	"collector-stalls":   collectorStalls,
+	"revoked-key":        revokedKey,
 	"cut-before-demand":  cutBeforeDemand,
 	"restart-behind-cut": restartBehindCut,
 }
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -43,12 +44,22 @@
 	// rowKey identifies a row.
 	rowKey struct{ table, part, key string }
 
+	// storeCopy is a copy of a store.
+	storeCopy struct {
+		version uint64
+		rows    map[rowKey]storeRow
+	}
+
 	// store is a stand-in for the platform's store. It keeps everything in memory.
 	store struct {
 		address string
 		started time.Time
 
-		mu      sync.Mutex
+		mu sync.Mutex
+		// era rises each time that the store comes back from a copy.
+		era uint64
+		// away is set while the store resets all calls.
+		away    bool
 		version uint64
 		rows    map[rowKey]storeRow
 		// changes holds the changed rows in order.
@@ -64,16 +75,66 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), started: time.Now(), rows: make(map[rowKey]storeRow), changed: make(chan struct{})}
+	s := &store{address: l.Addr().String(), started: time.Now(), rows: make(map[rowKey]storeRow), changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/rows-tx", s.transact)
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: s.unlessAway(mux), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
 	return s, nil
 }
 
+// unlessAway resets the connection of a call while the store is away.
+func (s *store) unlessAway(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		s.mu.Unlock()
+		if away {
+			reset(w)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// reset resets the connection of a call.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// copy returns a copy of the store.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+// leave makes the store reset all calls, also those that wait.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore makes the store come back from a copy: what was written since is gone.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.era = false, s.era+1
+	s.version, s.rows, s.changes = c.version, c.rows, nil
+}
+
 // put writes a row on behalf of the operators.
 func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -146,9 +207,23 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait-ms"))
+	s.mu.Lock()
+	unknown := after > s.version
+	s.mu.Unlock()
+	if unknown {
+		s.mu.Lock()
+		s.answer(w, http.StatusGone, []storeRow{})
+		s.mu.Unlock()
+		return
+	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			reset(w)
+			return
+		}
 		rows := []storeRow{}
 		for _, c := range s.changes {
 			if c.Table == q.Get("table") && c.SchemaVersion > after {
@@ -178,6 +253,7 @@
 // answer writes an answer. The caller holds mu.
 func (s *store) answer(w http.ResponseWriter, status int, rows []storeRow) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
 	body, err := json.Marshal(storeAnswer{Rows: rows, SchemaVersion: s.version, NowMillis: time.Since(s.started).Milliseconds()})
 	if err != nil {
