--- a/review/stand3/logcase.go
+++ b/review/stand3/logcase.go
@@ -10,7 +10,7 @@
 
 const (
 	// fillTime is the time in which a node fills the pipe to its collector.
-	fillTime = 30 * time.Second
+	fillTime = 40 * time.Second
 	// maxLost is the number of requests for which the rule allows a close without an answer.
 	maxLost = 3
 )
@@ -126,7 +126,7 @@
 	for _, m := range w.machines {
 		w.sendFrom(m, 3, "/orders/2f", every(200*time.Millisecond), stop, &group)
 		// A few requests use a route that never existed; the node logs them.
-		w.sendFrom(m, 2, "/unknown/2f", every(100*time.Millisecond), stop, &group)
+		w.sendFrom(m, 1, "/unknown/2f", every(100*time.Millisecond), stop, &group)
 	}
 	time.Sleep(fillTime)
 	began := time.Now()
