--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -9,15 +9,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
 const (
 	// host is the host of the routes.
 	host = "hulo84.example"
-	// graceSeconds is the time from SIGTERM until the platform kills a process.
-	graceSeconds = 6
 	// startTimeout bounds the wait until a node is ready.
 	startTimeout = 15 * time.Second
 )
@@ -152,19 +149,6 @@
 	}
 }
 
-// stop stops the node as the platform does: with SIGTERM, and SIGKILL after the grace time.
-// It returns how the node ended and after which time.
-func (m *machine) stop() (string, time.Duration) {
-	began := time.Now()
-	_ = m.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-m.exited:
-	case <-time.After(graceSeconds * time.Second):
-		m.kill()
-	}
-	return m.state, time.Since(began)
-}
-
 // isReady asks the node whether it is ready.
 func (m *machine) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/stand3/logcase.go
+++ b/review/stand3/logcase.go
@@ -4,13 +4,10 @@
 	"os"
 	"os/exec"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	// fillTime is the time in which a node fills the pipe to its collector.
-	fillTime = 40 * time.Second
 	// maxLost is the number of requests for which the rule allows a close without an answer.
 	maxLost = 3
 )
@@ -46,15 +43,10 @@
 	_ = c.cmd.Wait()
 }
 
-// stall stops the collector, so that it reads nothing more.
-func (c *collector) stall() {
-	_ = c.cmd.Process.Signal(syscall.SIGSTOP)
-}
-
 // startSmallFleet starts three machines, one in each zone, with a server each.
 func startSmallFleet(w *world, slots int, work time.Duration) error {
 	w.store.put("op", "config", encodeConfiguration(1, 800*time.Millisecond, "orders"))
-	for _, zone := range []string{"attica-a", "attica-b", "attica-c"} {
+	for _, zone := range zones {
 		if err := w.addMachine(zone, "orders", slots, work); err != nil {
 			return err
 		}
@@ -108,53 +100,3 @@
 	w.logf("%s passed on %d requests and closed their connections without an answer", first.name, len(lost))
 	return len(lost) > maxLost, nil
 }
-
-// collectorStalls stops the log collector of one node, and stops that node as planned once its
-// lines have filled the pipe between them.
-func collectorStalls(w *world) (bool, error) {
-	if err := startSmallFleet(w, 6, 150*time.Millisecond); err != nil {
-		return false, err
-	}
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	time.Sleep(4 * time.Second)
-	first := w.machines[0]
-	if w.trouble {
-		w.logf("the log collector of %s is stopped", first.name)
-		w.collectors[0].stall()
-	}
-	for _, m := range w.machines {
-		w.sendFrom(m, 3, "/orders/2f", every(200*time.Millisecond), stop, &group)
-		// A few requests use a route that never existed; the node logs them.
-		w.sendFrom(m, 1, "/unknown/2f", every(100*time.Millisecond), stop, &group)
-	}
-	time.Sleep(fillTime)
-	began := time.Now()
-	w.logf("%s gets SIGTERM", first.name)
-	state, took := first.stop()
-	w.logf("%s has ended after %.3f s: %s", first.name, took.Seconds(), state)
-	time.Sleep(time.Second)
-	close(stop)
-	group.Wait()
-	broken := 0
-	for _, c := range w.lost(first.name, began) {
-		if w.excused(c, began) {
-			continue
-		}
-		broken++
-		w.logf("%s, sent %.3f s after SIGTERM, was passed on and its connection ended without an answer: %s", c.id, c.sent.Sub(began).Seconds(), c.problem)
-	}
-	return broken > 0, nil
-}
-
-// excused reports whether the rule leaves a request out: its server was still at work in the
-// last sixth of the grace time, and it was sent in the first 3 s after SIGTERM.
-func (w *world) excused(c call, stopped time.Time) bool {
-	late := stopped.Add(graceSeconds * time.Second * 5 / 6)
-	for _, r := range w.runs.all()[c.id] {
-		if c.sent.Before(stopped.Add(3*time.Second)) && (r.ended.IsZero() || r.ended.After(late)) {
-			return true
-		}
-	}
-	return false
-}
