--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -43,8 +43,10 @@
 		born    int64
 		runs    *runs
 		// work is how long a request is at work.
-		work     time.Duration
-		running  atomic.Int64
+		work    time.Duration
+		running atomic.Int64
+		// leaving is set once the server leaves: it says so in all its answers.
+		leaving  atomic.Bool
 		sequence atomic.Int64
 		http     *http.Server
 	}
@@ -100,7 +102,13 @@
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", min(running, int64(s.slots)), s.slots))
+	if s.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == healthPath {
+		if s.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
@@ -120,17 +128,17 @@
 	fmt.Fprintf(w, "%s ran %s with %d bytes\n", s.id, id, len(body))
 }
 
-// reportAll reports the status of the server again and again. A report without an answer is
-// followed by the next one.
+// reportAll reports the status of the server again and again until it leaves. A report
+// without an answer is followed by the next one.
 func (s *server) reportAll() {
-	for {
-		s.report()
+	for !s.leaving.Load() {
+		s.send(http.MethodPut, s.report())
 		time.Sleep(reportInterval)
 	}
 }
 
-// report sends one status report.
-func (s *server) report() {
+// report returns the body of the next status report.
+func (s *server) report() []byte {
 	body, err := json.Marshal(map[string]any{
 		"address": s.address, "born": s.born,
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
@@ -139,13 +147,28 @@
 	if err != nil {
 		panic(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+s.control+"/-/instances/"+s.id, bytes.NewReader(body))
+	return body
+}
+
+// leave makes the server leave: it says so to its node and goes on serving. It reports
+// whether the node has acknowledged that.
+func (s *server) leave() bool {
+	s.leaving.Store(true)
+	return s.send(http.MethodDelete, fmt.Appendf(nil, `{"born":%d}`, s.born))
+}
+
+// send sends a report and returns whether it was acknowledged.
+func (s *server) send(method string, body []byte) bool {
+	req, err := http.NewRequest(method, "http://"+s.control+"/-/instances/"+s.id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	client := http.Client{Timeout: reportTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	if resp, err := client.Do(req); err == nil {
-		_ = resp.Body.Close()
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
 	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusMultipleChoices
 }
