--- a/review/stand3/logcase.go
+++ b/review/stand3/logcase.go
@@ -70,7 +70,7 @@
 // collectorEnds kills the log collector of one node, and then writes a configuration, so that
 // the nodes have a line to log.
 func collectorEnds(w *world) (bool, error) {
-	if err := startSmallFleet(w, 9, 80*time.Millisecond); err != nil {
+	if err := startSmallFleet(w, 9, 90*time.Millisecond); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
