Review case 11: a planned stop resets connections on which answers are still under way

Cause: io/httpd closes a connection as soon as its last answer is written; a request that the caller has sent ahead then makes the kernel reset the connection and throw away what the caller has not received.

--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -174,16 +174,16 @@
 // encodeConfiguration returns a configuration in the format of the store. Each service has a
 // route of its name, whose requests must not be repeated.
 func encodeConfiguration(version int, timeout time.Duration, services ...string) []byte {
-	return encode(version, timeout, nil, services)
+	return encode(version, "non_idempotent", timeout, nil, services)
 }
 
 // encodeTenants is encodeConfiguration with tenants.
 func encodeTenants(version int, tenants []map[string]any, services ...string) []byte {
-	return encode(version, 800*time.Millisecond, tenants, services)
+	return encode(version, "non_idempotent", 800*time.Millisecond, tenants, services)
 }
 
 // encode returns a configuration in the format of the store.
-func encode(version int, timeout time.Duration, tenants []map[string]any, services []string) []byte {
+func encode(version int, kind string, timeout time.Duration, tenants []map[string]any, services []string) []byte {
 	c := configuration{
 		Tenants: tenants,
 		Version: fmt.Sprintf("%08x", version),
@@ -193,7 +193,7 @@
 	for i, s := range services {
 		c.Services = append(c.Services, map[string]any{"name": s, "health-path": healthPath, "max-connections": 130, "protocol": "h1", "tls": false})
 		paths = append(paths, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "prefix": "/" + s + "/", "kind": "non_idempotent", "timeout-ms": timeout.Milliseconds(),
+			"name": fmt.Sprintf("r-%d", i), "prefix": "/" + s + "/", "kind": kind, "timeout-ms": timeout.Milliseconds(),
 			"target-latency-ms": 400, "priority": 1, "service": s, "max-attempts": 2,
 		})
 	}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -50,11 +50,11 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){
-	"collector-ends":     collectorEnds,
 	"revoked-key":        revokedKey,
 	"departure-lost":     departureLost,
 	"cut-before-demand":  cutBeforeDemand,
 	"restart-behind-cut": restartBehindCut,
+	"close-in-pipeline":  closeInPipeline,
 }
 
 func main() {
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,8 +44,10 @@
 		born    int64
 		runs    *runs
 		// work is how long a request is at work.
-		work    time.Duration
-		running atomic.Int64
+		work time.Duration
+		// answerBytes is the size of an answer; 0 means a short line of text.
+		answerBytes int
+		running     atomic.Int64
 		// leaving is set once the server leaves: it says so in all its answers.
 		leaving  atomic.Bool
 		sequence atomic.Int64
@@ -125,6 +128,11 @@
 	time.Sleep(s.work)
 	s.runs.end(one)
 	w.Header().Set("Server-Signature", s.id+"."+id)
+	if s.answerBytes > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(s.answerBytes))
+		_, _ = w.Write(bytes.Repeat([]byte{'%'}, s.answerBytes))
+		return
+	}
 	fmt.Fprintf(w, "%s ran %s with %d bytes\n", s.id, id, len(body))
 }
 
