--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -55,7 +55,8 @@
 		// reading is set from the first byte of a request until its last.
 		reading bool
 		// closing is set by the response that closes the connection, by an idle
-		// timeout and by closeIfIdle; no request is accepted afterwards.
+		// timeout and by closeIfIdle; no request is accepted afterwards, and the read
+		// deadline is not extended.
 		closing bool
 	}
 
@@ -123,7 +124,7 @@
 	c.watch(answered)
 	wg.Wait()
 	cancel()
-	_ = c.conn.Close()
+	sock.CloseGracefully(c.conn, c.server.Bounds().BodyMillis.Duration())
 }
 
 // enqueue passes a request to writeResponses. While it waits for room in the pipeline,
@@ -226,7 +227,9 @@
 // while a request is unanswered, however long its response takes.
 func (c *connection) awaitRequest() error {
 	for {
-		c.setReadDeadline(c.server.Bounds().IdleMillis)
+		if !c.setIdleDeadline() {
+			return errClosing
+		}
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		switch {
@@ -241,15 +244,35 @@
 		busy := c.unanswered > 0
 		if isTimeout(err) && !busy {
 			c.closing = true
+		}
+		if isTimeout(err) && c.closing {
 			err = errClosing
 		}
 		c.mu.Unlock()
-		if !isTimeout(err) || !busy {
+		if !isTimeout(err) {
 			return err
 		}
 	}
 }
 
+// setIdleDeadline sets the deadline for the first byte of the next request. It returns
+// false if the connection accepts no more requests.
+func (c *connection) setIdleDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.setReadDeadline(c.server.Bounds().IdleMillis)
+	return true
+}
+
+// endReading ends the wait of awaitRequest on a connection that is closing. The reading
+// goroutine then closes the connection.
+func (c *connection) endReading() {
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads have ended
+}
+
 // accept counts a request that was read completely. It returns false if the connection
 // accepts no more requests.
 func (c *connection) accept() bool {
@@ -272,7 +295,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.conn.Close()
+	c.endReading()
 }
 
 // writeResponses writes the responses in order. After the one that closes the
@@ -293,10 +316,14 @@
 			c.mu.Lock()
 			c.writing = false
 			c.mu.Unlock()
-			if err != nil || closes {
-				closed = true
+			closed = err != nil || closes
+			switch {
+			case err != nil:
 				cancel()
 				_ = c.conn.Close()
+			case closes:
+				cancel()
+				c.endReading()
 			}
 		}
 		ex.lease.Release()
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	in.listener = lingerListener{listener}
+	in.listener = listener
 	in.openedAt = in.Clock.Now()
 	in.Dialect = in.Dialect.withDefaults()
 	in.server = &httpd.Server{Handler: in.handle, Malformed: in.replyMalformed, Bounds: in.bounds, Memory: in.Memory, Link: in.Link, RoomMillis: in.roomMillis}
--- a/io/proxy/reply.go
+++ b/io/proxy/reply.go
@@ -75,7 +75,6 @@
 	ctx.Response.Reset()
 	in.metrics.refused.Inc()
 	in.reply(ctx, notRun(reason), in.Clock.Now())
-	linger(ctx.Conn())
 }
 
 // notRun returns the outcome of a request that was refused.
--- a/io/sock/probe.go
+++ b/io/sock/probe.go
@@ -1,10 +1,13 @@
-// Package sock examines TCP connections without reading from them.
+// Package sock examines TCP connections without reading from them, and closes them
+// without a loss of what was sent.
 package sock
 
 import (
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -55,6 +58,20 @@
 	return state
 }
 
+// Acknowledged reports whether the peer has acknowledged everything that was sent,
+// including the close of the sending side. It is true if that is unknown.
+func (p Probe) Acknowledged() bool {
+	if p.raw == nil {
+		return true
+	}
+	acknowledged := true
+	err := p.raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		acknowledged = err != nil || n == 0
+	})
+	return err != nil || acknowledged
+}
+
 // peek returns the state of a socket.
 func peek(fd int) State {
 	var b [1]byte
