io/frame: a stopping transport delivers the answers that are under way

Run closed the connections that peers had dialed at once; an echo of the peer then reset them, with answers still in the send buffer. Change: serve ends and closes the connection in stages, for 300 ms at most.

--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -16,8 +16,13 @@
 	"hickoryrail/io/sock"
 )
 
-// helloTimeout bounds the wait for the first frame of an accepted connection.
-const helloTimeout = 2 * time.Second
+const (
+	// helloTimeout bounds the wait for the first frame of an accepted connection.
+	helloTimeout = 2 * time.Second
+	// closeTimeout bounds how long a stopping transport waits for peers to read the last
+	// answers. The end of a planned stop has no room for more.
+	closeTimeout = 300 * time.Millisecond
+)
 
 // acceptedConnection is a connection that a peer dialed.
 type acceptedConnection struct {
@@ -76,7 +81,7 @@
 
 // serve reads and handles the frames of an accepted connection until it ends.
 func (t *Transport) serve(conn net.Conn) {
-	defer conn.Close()
+	defer t.closeAccepted(conn)
 	b := bufio.NewReaderSize(conn, bufferBytes)
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout)) // the read reports a closed connection
 	m, err := read(b, bufferBytes)
@@ -118,6 +123,21 @@
 	}
 }
 
+// closeAccepted closes a connection that a peer dialed. A stopping transport lets the peer
+// read the answers that are still under way.
+func (t *Transport) closeAccepted(conn net.Conn) {
+	if isClosed(t) {
+		sock.CloseGracefully(conn, closeTimeout)
+		return
+	}
+	_ = conn.Close() // it has ended, or its peer does not follow the protocol
+}
+
+// endReading makes serve close the connection.
+func (s *acceptedConnection) endReading() {
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads have ended
+}
+
 // receive reads and handles one frame. A call for which there is no memory in time is
 // refused: its payload is read and not kept.
 func (s *acceptedConnection) receive(b *bufio.Reader) error {
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -143,7 +143,7 @@
 }
 
 // Run serves peers until ctx ends, then closes every connection. Call Drain first
-// to let the calls in flight finish.
+// to let the calls in flight finish; peers get what was written to them by then.
 func (t *Transport) Run(ctx context.Context) error {
 	t.group.Go(t.accept)
 	<-ctx.Done()
@@ -164,7 +164,7 @@
 		c.fail(errClosed)
 	}
 	for _, s := range accepted {
-		_ = s.conn.Close()
+		s.endReading()
 	}
 	t.group.Wait()
 	if errors.Is(err, net.ErrClosed) {
