--- a/core/fresh/node.go
+++ b/core/fresh/node.go
@@ -52,11 +52,12 @@
 	// returns the messages to send. Times are those of a clock that counts the time for
 	// which the machine was suspended. Tick must be called about every 100 ms.
 	Node struct {
-		config Config
-		id     ClockID
-		proofs proofs
-		store  store
-		pacer  pacer
+		config    Config
+		id        ClockID
+		proofs    proofs
+		store     store
+		discovery discovery
+		pacer     pacer
 
 		neighbours []Neighbour
 		peers      map[ident.NodeID]*peer
@@ -79,6 +80,8 @@
 		// sentAt is when a message was last sent to the peer, and answeredAt when one was
 		// sent because the peer asked or its clock was not known.
 		sentAt, answeredAt clock.Millis
+		// toldAt is when the peer last answered a question about the store's era.
+		toldAt clock.Millis
 	}
 )
 
@@ -153,9 +156,7 @@
 		n.proofs.add(m.Version, at)
 		p.provenAt = max(p.provenAt, at)
 	}
-	if n.store.deadline > 0 && m.EchoClock == n.id && m.EchoSentAt >= n.store.askedAt {
-		n.confirm()
-	}
+	n.heard(now, p, m)
 	var out []Action
 	if (m.Ask || !p.offset.known) && now-p.answeredAt >= answerIntervalMillis {
 		p.answeredAt = now
@@ -166,7 +167,7 @@
 
 // Tick sends what is due.
 func (n *Node) Tick(now clock.Millis) []Action {
-	if n.store.deadline > 0 && now >= n.store.deadline {
+	if n.Unconfirmed() && now >= n.store.deadline {
 		n.confirm()
 	}
 	out := n.forward(now)
@@ -222,7 +223,7 @@
 	if len(n.peers) >= maxPeers {
 		n.removeOldest()
 	}
-	p := &peer{provenAt: -clock.Forever, sentAt: -clock.Forever, answeredAt: -clock.Forever, heardAt: -clock.Forever}
+	p := &peer{provenAt: -clock.Forever, sentAt: -clock.Forever, answeredAt: -clock.Forever, heardAt: -clock.Forever, toldAt: -clock.Forever}
 	n.peers[id] = p
 	return p
 }
--- a/core/fresh/node_test.go
+++ b/core/fresh/node_test.go
@@ -23,8 +23,16 @@
 	skew clock.Millis
 }
 
-// newTestNode returns a node that holds version 4.
+// newTestNode returns a node that holds version 4 and is the only one in the list of nodes.
 func newTestNode(seed uint64) *Node {
+	n := startedNode(seed)
+	n.Discovered(0, false)
+	return n
+}
+
+// startedNode returns a node that holds version 4 and does not know yet whether there are
+// others.
+func startedNode(seed uint64) *Node {
 	n := New(Config{BoundMillis: testBound}, rand.New(rand.NewPCG(seed, 1)))
 	n.SetHeld(4)
 	return n
@@ -218,6 +226,58 @@
 	is.Equal(p.a.ValidUntil(), 2000+testValid)
 }
 
+// TestStartAfterRestore guards against a node that has just started and takes the answer of
+// a restored store for a proof, before other nodes have told of a later release.
+func TestStartAfterRestore(t *testing.T) {
+	is := is.New(t)
+	answer := Answer{Version: 4, SentAt: 1000, Era: 2, StoreMillis: 7}
+	p := newPair()
+	p.b.SetHeld(5)
+	p.b.Answered(p.skew+900, Answer{Version: 5, SentAt: p.skew + 900})
+	started := startedNode(3)
+	started.Answered(1000, answer)
+	started.Discovered(1010, true)
+	is.True(started.Unconfirmed())
+	is.Equal(started.ValidUntil(), -clock.Forever+testValid)
+	asks := started.SetNeighbours(1200, []Neighbour{{Node: "b"}})
+	answers := p.b.Receive(p.skew+1202, "a", asks[0].Message)
+	started.Receive(1204, "b", answers[0].Message)
+	is.True(!started.Unconfirmed())
+	is.True(started.ValidUntil() < 0) // version 5 is known and not held
+	started.SetHeld(5)
+	is.Equal(started.ValidUntil(), 1000+testValid)
+
+	unreached := startedNode(3)
+	unreached.Answered(1000, answer)
+	unreached.Tick(5000)
+	is.True(unreached.Unconfirmed()) // it does not know yet whether there are others
+	unreached.Discovered(5000, true)
+	unreached.Tick(4999 + startConfirmMillis)
+	is.True(unreached.Unconfirmed())
+	unreached.Tick(5000 + startConfirmMillis)
+	is.Equal(unreached.ValidUntil(), 1000+testValid)
+
+	alone := startedNode(3)
+	alone.Discovered(900, false)
+	alone.Answered(1000, answer)
+	is.Equal(alone.ValidUntil(), 1000+testValid)
+}
+
+// TestNeighbourWithoutProof guards against answers of the store that count because a
+// neighbour that has just started too, and knows nothing, was the first to answer.
+func TestNeighbourWithoutProof(t *testing.T) {
+	is := is.New(t)
+	n := startedNode(3)
+	n.Discovered(900, true)
+	n.Answered(1000, Answer{Version: 4, SentAt: 1000, Era: 2, StoreMillis: 7})
+	n.SetNeighbours(1100, []Neighbour{{Node: "b"}, {Node: "c"}})
+	empty := Message{Clock: 7, SentAt: 50, EchoClock: n.id, EchoSentAt: 1100, EchoReceivedAt: 40}
+	n.Receive(1110, "b", empty)
+	is.True(n.Unconfirmed())
+	n.Receive(1120, "c", empty) // no node knows more than the store
+	is.Equal(n.ValidUntil(), 1000+testValid)
+}
+
 // TestOldProofOfAHigherVersion guards against a proof for an earlier version that goes on
 // to count although a later version is known to have been the newest before.
 func TestOldProofOfAHigherVersion(t *testing.T) {
--- a/core/fresh/store.go
+++ b/core/fresh/store.go
@@ -1,6 +1,8 @@
 package fresh
 
 import (
+	"slices"
+
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
 )
@@ -19,7 +21,7 @@
 		StoreMillis clock.Millis
 	}
 
-	// store is what a node knows of the store's clock.
+	// store is what a node knows of the store.
 	store struct {
 		era ident.Era
 		// offset is how far the store's clock is ahead in that era.
@@ -30,11 +32,25 @@
 		pending           proof
 		askedAt, deadline clock.Millis
 	}
+
+	// discovery is what a node knows of the fleet before it has met other nodes.
+	discovery struct {
+		// done is set once the list of nodes was read, at time at.
+		done bool
+		at   clock.Millis
+		// others is set if the list has other nodes.
+		others bool
+	}
 )
 
-// confirmMillis is how long the answers of a store in an era that is new to the node wait
-// until a neighbour has answered.
-const confirmMillis = 500 * clock.Millis(1)
+const (
+	// confirmMillis is how long the answers of a store in an era that is new to the node
+	// wait until a neighbour has answered.
+	confirmMillis = 500 * clock.Millis(1)
+	// startConfirmMillis is that time for a node that has just started, from when it has
+	// read the list of nodes. It leaves the node time to join the overlay.
+	startConfirmMillis = 1500 * clock.Millis(1)
+)
 
 // Answered takes in an answer of the store. Its proof is from the time at which the call
 // was sent, or from a later one that follows from the store's time: a call that the store
@@ -43,14 +59,14 @@
 //
 // A store that was restored from an older copy may lack a release by which a key was
 // revoked and which other nodes hold. So answers of a new era count only once a neighbour
-// has told which version it knows; it answers at once if it is reachable.
+// has told which version it knows; it answers at once if it is reachable. A node that has
+// just started cannot know whether the era is new, so it waits as well.
 func (n *Node) Answered(now clock.Millis, a Answer) []Action {
 	n.pacer.answered(now-a.SentAt, a.HoldMillis)
 	var out []Action
 	if a.Era != n.store.era {
-		n.store = store{era: a.Era}
-		if len(n.neighbours) > 0 {
-			n.store.askedAt, n.store.deadline = now, now+confirmMillis
+		n.store = store{era: a.Era, askedAt: now, deadline: n.confirmDeadline(now, n.store.era == 0)}
+		if n.store.deadline > 0 {
 			out = n.askAll(now)
 		}
 	}
@@ -71,6 +87,54 @@
 	return append(out, n.forward(now)...)
 }
 
+// confirmDeadline returns when the answers of an era that begins now count without a
+// neighbour; 0 if they count at once.
+func (n *Node) confirmDeadline(now clock.Millis, first bool) clock.Millis {
+	switch {
+	case first && !n.discovery.done:
+		return clock.Forever
+	case first && n.discovery.others:
+		return max(n.discovery.at+startConfirmMillis, now+confirmMillis)
+	case len(n.neighbours) > 0:
+		return now + confirmMillis
+	}
+	return 0
+}
+
+// Discovered records that the list of nodes was read, and whether it has others than this
+// one. Without others nobody can confirm the answers of the store.
+func (n *Node) Discovered(now clock.Millis, others bool) {
+	if n.discovery.done {
+		return
+	}
+	n.discovery = discovery{done: true, at: now, others: others}
+	if n.store.deadline == clock.Forever {
+		n.store.deadline = n.confirmDeadline(now, true)
+		if n.store.deadline == 0 {
+			n.confirm()
+		}
+	}
+}
+
+// Unconfirmed reports whether answers of the store wait for a neighbour.
+func (n *Node) Unconfirmed() bool {
+	return n.store.deadline > 0
+}
+
+// heard takes in that a neighbour has answered a question. The answers of the store count
+// once a neighbour with a proof has answered. If all have answered and none has a proof,
+// nobody knows more than the store.
+func (n *Node) heard(now clock.Millis, p *peer, m Message) {
+	if !n.Unconfirmed() || m.EchoClock != n.id || m.EchoSentAt < n.store.askedAt {
+		return
+	}
+	p.toldAt = now
+	silent := func(b Neighbour) bool { return n.peers[b.Node].toldAt < n.store.askedAt }
+	if m.Version > 0 || !slices.ContainsFunc(n.neighbours, silent) {
+		n.confirm()
+	}
+}
+
 // confirm makes the answers of the store's present era count.
 func (n *Node) confirm() {
 	if p := n.store.pending; p.version > 0 {
--- a/core/fresh/world_test.go
+++ b/core/fresh/world_test.go
@@ -223,6 +223,7 @@
 	n.follower = &feed.Follower{Rand: n.random}
 	n.follower.RequireRead()
 	w.after(clock.Millis(n.random.IntN(100)), n, func() {
+		n.node.Discovered(n.own(w.now), true)
 		w.send(n, n.node.SetNeighbours(n.own(w.now), n.neighbours))
 		w.step(n)
 	})
--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -35,6 +35,8 @@
 const (
 	reasonProofLost  = "configuration is not proven to be the newest: requests with keys are refused"
 	reasonProofFound = "configuration is proven to be the newest again"
+	// reasonUnconfirmed means that the store may have been restored from an older copy.
+	reasonUnconfirmed = "answers of the store count once another node has confirmed them"
 )
 
 // freshness connects the proof that the configuration is the newest to the fleet, the
@@ -61,6 +63,8 @@
 	// last tick, and lost whether it has ceased to be and that was logged.
 	held         ident.Version
 	proven, lost bool
+	// unconfirmed is whether answers of the store waited for other nodes at the last tick.
+	unconfirmed bool
 }
 
 var _ proxy.Freshness = (*freshness)(nil)
@@ -155,6 +159,14 @@
 	})
 }
 
+// discovered records that the directory was read, and whether it lists other nodes.
+func (f *freshness) discovered(others bool) {
+	f.update(func(now clock.Millis) []fresh.Action {
+		f.node.Discovered(now, others)
+		return nil
+	})
+}
+
 // callFailed records a failed call to the store.
 func (f *freshness) callFailed() {
 	f.update(func(now clock.Millis) []fresh.Action {
@@ -198,8 +210,8 @@
 	f.validUntil.Store(math.Float64bits(float64(f.node.ValidUntil())))
 }
 
-// logChange logs when the proof has run out and when there is one again. The caller holds
-// mu.
+// logChange logs when the proof has run out, when there is one again, and when answers of
+// the store begin to wait for other nodes. The caller holds mu.
 func (f *freshness) logChange(now clock.Millis) {
 	proven := now < f.node.ValidUntil()
 	switch {
@@ -211,6 +223,11 @@
 		f.log.Record(logs.Decision{At: f.wall.Now(), Kind: logs.Release, Version: f.held, Reason: reasonProofFound})
 	}
 	f.proven = proven
+	unconfirmed := f.node.Unconfirmed()
+	if unconfirmed && !f.unconfirmed {
+		f.log.Record(logs.Decision{At: f.wall.Now(), Kind: logs.Release, Version: f.held, Reason: reasonUnconfirmed})
+	}
+	f.unconfirmed = unconfirmed
 }
 
 // substitutes reports whether the node calls the store in place of the nodes that should.
--- a/io/node/freshness_test.go
+++ b/io/node/freshness_test.go
@@ -199,3 +199,40 @@
 	defer stopNodes(t, b)
 	await(t, "a proof of the neighbour", func() bool { return b.Ready() && admits(b) })
 }
+
+// TestRevokedKeyAfterRestore guards against a restarted node that admits requests by an
+// older release, in which a key is not revoked yet, because the store was restored from an
+// older copy and the node has not met the others yet.
+func TestRevokedKeyAfterRestore(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	h.position.Era, h.revocation = 1, fresh.Config{BoundMillis: 9 * clock.Second}
+	nodes := h.startFleet(t, []ident.NodeID{"a", "b"})
+	defer stopNodes(t, nodes...)
+	copied := h.release
+	h.publish(t)
+	awaitVersion(t, 2, nodes...)
+	h.restore(t, 1)
+	h.change(func() { h.release = copied })
+	c, _ := h.start(t, "c")
+	defer stopNodes(t, c)
+	await(t, "the release of the others", func() bool {
+		if admits(c) {
+			is.Equal(c.Version(), ident.Version(2))
+		}
+		return c.Version() == 2 && admits(c)
+	})
+}
+
+// TestProofOfSingleNode guards against a node that waits for others although there are
+// none.
+func TestProofOfSingleNode(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	log := &safeBuffer{}
+	h.position.Era, h.revocation, h.log = 1, fresh.Config{BoundMillis: 9 * clock.Second}, log
+	a, _ := h.start(t, "a")
+	defer stopNodes(t, a)
+	await(t, "the proof", func() bool { return a.Ready() && admits(a) })
+	is.Equal(len(log.fieldsOf(reasonUnconfirmed)), 0)
+}
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
@@ -95,9 +96,13 @@
 
 // listNodes reads the directory and passes its nodes to the fleet.
 func (w *watcher) listNodes(ctx context.Context) {
-	if seeds, ok := w.readDirectory(ctx); ok {
-		w.fleet.addSeeds(seeds)
+	seeds, ok := w.readDirectory(ctx)
+	if !ok {
+		return
 	}
+	w.fleet.addSeeds(seeds)
+	self := w.self().Node
+	w.freshness.discovered(slices.ContainsFunc(seeds, func(s member.Seed) bool { return s.Node != self }))
 }
 
 // readDirectory reads the directory and reports success.
