--- a/core/grant/agent.go
+++ b/core/grant/agent.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// SetUnreached sets the number of live members that probably have no contact with this node.
+func (a *Agent) SetUnreached(n int) {
+	a.members.unreached = n
+}
+
 // SetTeams replaces the caps by those of a release; the list must not change.
 func (a *Agent) SetTeams(version ident.Version, teams []model.Team) {
 	a.node.version = version
--- a/core/grant/members.go
+++ b/core/grant/members.go
@@ -43,6 +43,9 @@
 		live []rankedMember
 		// known is the number of live and dead members, at least len(live).
 		known int
+		// unreached is the number of live members that probably have no contact with this
+		// node.
+		unreached int
 		// departed holds the members that departed in the last departureMillis.
 		departed []departure
 		// startedAt is when this node began to take part; it starts anew after a pause
@@ -141,12 +144,13 @@
 	return 2*len(m.live) <= m.known
 }
 
-// share returns the part of the rate that a coordinator hands out if silent members do
-// not reach it although they are known to be live. In a divided fleet, the shares of all
+// share returns the part of the rate that a coordinator hands out if silent members have
+// ceased to ask it although they are known to be live. Members without contact count as
+// silent whether they have asked or not: they may use their safe parts. In a divided fleet, the shares of all
 // coordinators and the safe parts of all nodes add up to at most 1 + missingTolerance.
 func (m *members) share(now clock.Millis, silent int) float64 {
 	n := m.nodes(now)
-	reached := min(len(m.live), n) - silent
+	reached := min(len(m.live), n) - max(silent, m.unreached)
 	missing := n - reached
 	if 2*reached <= n && n > 1 {
 		return safeShare * float64(max(reached, 0)) / float64(n)
--- a/core/grant/members_test.go
+++ b/core/grant/members_test.go
@@ -60,6 +60,18 @@
 	is.True(c.request(0, "n1", &request).Grants[0].Declined)
 }
 
+// TestUnreachedMembers guards against a coordinator that hands out the whole cap while members
+// which have never asked it have no contact with it.
+func TestUnreachedMembers(t *testing.T) {
+	is := is.New(t)
+	m := membersOf(61, 61)
+	for unreached := range 61 {
+		m.unreached = unreached
+		is.Equal(m.share(clock.Minute, 0), membersOf(61-unreached, 61).share(clock.Minute, 0))
+		is.Equal(m.share(clock.Minute, 60), membersOf(1, 61).share(clock.Minute, 0))
+	}
+}
+
 // TestSince guards against a new coordinator that starts with a full stock, and against an
 // old one that starts without one.
 func TestSince(t *testing.T) {
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -85,6 +85,8 @@
 		observers   sets.Set[ident.NodeID]
 		// reportedDead is set if a peer reported the suspected member as Dead.
 		reportedDead bool
+		// heardAt is when the member last sent a message.
+		heardAt clock.Millis
 		// downSince is the time at which the record became Dead or Left.
 		downSince clock.Millis
 		// selfSummary is the member's last summary of its record of this node.
@@ -273,7 +275,7 @@
 	if len(t.members) >= t.config.MaxMembers {
 		return nil
 	}
-	m := &member{node: n, positions: ringPositions(n)}
+	m := &member{node: n, positions: ringPositions(n), heardAt: -clock.Forever}
 	t.members[n] = m
 	at, _ := slices.BinarySearchFunc(t.ordered, n, compareMember)
 	t.ordered = slices.Insert(t.ordered, at, m)
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -29,6 +29,7 @@
 	t.noForwarding, t.receivedFrom = false, ""
 	sender := t.members[from]
 	if sender != nil {
+		sender.heardAt = now
 		sender.selfSummary = m.Receiver
 		sender.record.Held = max(sender.record.Held, m.Held)
 	}
--- a/io/node/caps.go
+++ b/io/node/caps.go
@@ -68,6 +68,8 @@
 		admittedByGrant, admittedBySafePart, refused atomic.Uint64
 		// granted is the number of tokens that this node has handed out.
 		granted atomic.Uint64
+		// unreached is the number of live members that probably have no contact with it.
+		unreached atomic.Uint64
 	}
 )
 
@@ -88,6 +90,7 @@
 		stats.CounterFunc("caps_safe_requests_total", "Requests admitted by the safe part of a usage cap, without a coordinator.", count(&m.admittedBySafePart)),
 		stats.CounterFunc("caps_refused_requests_total", "Requests refused because they are beyond the usage cap of their team.", count(&m.refused)),
 		stats.CounterFunc("caps_tokens_total", "Tokens that this node handed out as the coordinator of teams.", count(&m.granted)),
+		stats.GaugeFunc("caps_unreached_members", "Live members that probably have no contact with this node, for whose safe parts it reserves a part of each cap.", count(&m.unreached)),
 	)
 }
 
@@ -236,6 +239,14 @@
 	c.flush()
 }
 
+// setUnreached passes on how many live members probably have no contact with this node.
+func (c *caps) setUnreached(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.agent.SetUnreached(n)
+	c.metrics.unreached.Store(uint64(n))
+}
+
 // setRelease passes on the caps of a release.
 func (c *caps) setRelease(r *model.Release) {
 	c.mu.Lock()
@@ -262,9 +273,14 @@
 	}
 }
 
-// refreshCaps passes changed members to the usage caps. The caller holds mu.
-func (f *fleet) refreshCaps() {
-	if f.caps == nil || !f.capsStale && f.table.Sequence() == f.capsSequence {
+// refreshCaps passes changed members, and the contact to them, to the usage caps. The caller
+// holds mu.
+func (f *fleet) refreshCaps(now clock.Millis) {
+	if f.caps == nil {
+		return
+	}
+	f.caps.setUnreached(f.table.Unreached(now))
+	if !f.capsStale && f.table.Sequence() == f.capsSequence {
 		return
 	}
 	f.capsStale, f.capsSequence = false, f.table.Sequence()
--- a/io/node/caps_test.go
+++ b/io/node/caps_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"hickoryrail/core/ident"
 	"hickoryrail/core/member"
 	"hickoryrail/core/model"
+	"hickoryrail/core/sets"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/wire"
 )
@@ -33,18 +36,7 @@
 	c, _ := h.start(t, "c")
 	defer stopNodes(t, a, b, c)
 	nodes := []*Node{a, b, c}
-	await(t, "a whole fleet", func() bool {
-		for _, n := range nodes {
-			n.caps.mu.Lock()
-			size := len(n.caps.addresses)
-			n.caps.mu.Unlock()
-			if size != len(nodes) {
-				return false
-			}
-		}
-		return true
-	})
-	time.Sleep(2 * time.Second) // a new coordinator does not hand out the whole rate at once
+	awaitCaps(t, nodes)
 	team := &model.Team{Name: "north", RequestsPerSecond: 40, BurstRequests: 40}
 	admitted := 0
 	for i := range 600 {
@@ -63,6 +55,88 @@
 	is.True(byGrant >= uint64(admitted)/2)
 }
 
+// awaitCaps waits until the usage caps of all nodes know the whole fleet, and for 2 s more: a
+// new coordinator does not hand out the whole rate at once.
+func awaitCaps(t *testing.T, nodes []*Node) {
+	t.Helper()
+	await(t, "a whole fleet", func() bool {
+		for _, n := range nodes {
+			n.caps.mu.Lock()
+			size := len(n.caps.addresses)
+			n.caps.mu.Unlock()
+			if size != len(nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second)
+}
+
+// coordinatedTeam returns a team with a usage cap that a node coordinates. No other node has
+// asked for it.
+func coordinatedTeam(t *testing.T, n *Node) *model.Team {
+	t.Helper()
+	for i := range 100 {
+		team := &model.Team{Name: ident.TeamName("team-" + strconv.Itoa(i)), RequestsPerSecond: 40, BurstRequests: 20}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.ingress.Caps.Take(ctx, team)
+		n.caps.mu.Lock()
+		coordinates := n.caps.agent.Coordinates(team.Name)
+		n.caps.mu.Unlock()
+		if coordinates {
+			return team
+		}
+	}
+	t.Fatal("the node coordinates no team")
+	return nil
+}
+
+// press lets a team send far more than its cap at all nodes for the window of the cap, and
+// returns how many requests were admitted.
+func press(nodes []*Node, team *model.Team) int64 {
+	var admitted atomic.Int64
+	var group sync.WaitGroup
+	end := time.Now().Add(testCaps.WindowMillis.Duration())
+	for _, n := range nodes {
+		group.Go(func() {
+			for time.Now().Before(end) {
+				if _, ok := n.ingress.Caps.Take(context.Background(), team); ok {
+					admitted.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return admitted.Load()
+}
+
+// allowed returns how many requests of a team the platform allows in a window.
+func allowed(team *model.Team) int64 {
+	limit := team.RequestsPerSecond*float64(testCaps.WindowMillis/clock.Second) + team.BurstRequests
+	return int64(limit*(1+testCaps.Overage) + testCaps.Slack)
+}
+
+// TestCapOfCutCoordinator guards against a coordinator that is cut off from the others, just
+// before they get requests of a team for the first time, and hands out the whole cap beside
+// their safe parts.
+func TestCapOfCutCoordinator(t *testing.T) {
+	is := is.New(t)
+	h := newFakePlatform(t)
+	h.usageCaps = testCaps
+	nodes := h.startFleet(t, []ident.NodeID{"a", "b", "c"})
+	defer stopNodes(t, nodes...)
+	awaitCaps(t, nodes)
+	team := coordinatedTeam(t, nodes[0])
+	h.change(func() { h.cut = sets.Of[ident.NodeID]("a") })
+	time.Sleep(200 * time.Millisecond)
+	admitted := press(nodes, team)
+	t.Logf("%d requests admitted, %d are allowed", admitted, allowed(team))
+	is.True(admitted <= allowed(team))
+}
+
 // TestCapsOff guards against messages or state of usage caps on a platform that does not
 // state their bounds, and for teams without a cap.
 func TestCapsOff(t *testing.T) {
--- a/io/node/fakeplatform_test.go
+++ b/io/node/fakeplatform_test.go
@@ -41,6 +41,8 @@
 		// down makes all calls fail, and refused those of single nodes to the source.
 		down    bool
 		refused sets.Set[ident.NodeID]
+		// cut holds the nodes that are cut off from all others, but not from the platform.
+		cut sets.Set[ident.NodeID]
 		// invalid makes answers with a release refuse it.
 		invalid bool
 		// newestFails makes reads of the newest release fail.
@@ -89,6 +91,13 @@
 		node ident.NodeID
 	}
 
+	// cutTransport drops the control messages of a node while it or the receiver is cut off.
+	cutTransport struct {
+		transport
+		platform *fakePlatform
+		node     ident.NodeID
+	}
+
 	// noopEndpoint is an endpoint without a server.
 	noopEndpoint struct{}
 )
@@ -96,6 +105,15 @@
 // errInvalidRelease is the error of an answer with an invalid release.
 var errInvalidRelease = fmt.Errorf("%w: Route/r/TimeoutMillis", plat.ErrReleaseRefused)
 
+func (c cutTransport) SendControl(to ident.NodeID, address string, body []byte) {
+	c.platform.mu.Lock()
+	dropped := c.platform.cut.Has(c.node) || c.platform.cut.Has(to)
+	c.platform.mu.Unlock()
+	if !dropped {
+		c.transport.SendControl(to, address, body)
+	}
+}
+
 func (noopEndpoint) Open() error { return nil }
 
 func (noopEndpoint) Run(ctx context.Context) error {
@@ -330,6 +348,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.fleet.transport = cutTransport{transport: n.fleet.transport, platform: h, node: id}
 	if err := n.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -134,7 +134,7 @@
 	if f.table.Sequence() != f.viewSequence {
 		f.viewStale = true
 	}
-	f.refreshCaps()
+	f.refreshCaps(now)
 	f.refreshView(now)
 }
 
