--- a/core/grant/agent.go
+++ b/core/grant/agent.go
@@ -68,8 +68,8 @@
 	return a
 }
 
-// SetMembers replaces the live members, this node included; known is the number of live
-// and dead ones.
+// SetMembers replaces the live members, this node included; known is the number of all that
+// may be live, also if this node takes them for dead or has not heard of them yet.
 func (a *Agent) SetMembers(now clock.Millis, live []Member, known int) {
 	startedAt := a.members.startedAt
 	changed := a.members.set(now, live, known)
--- a/core/grant/members.go
+++ b/core/grant/members.go
@@ -41,7 +41,8 @@
 		selfHash uint64
 		// live holds the live members, self included.
 		live []rankedMember
-		// known is the number of live and dead members, at least len(live).
+		// known is the number of members that may be live, at least len(live): the live and
+		// the dead ones, and those of which this node knows only that they exist.
 		known int
 		// unreached is the number of live members that probably have no contact with this
 		// node.
--- a/core/grant/pool.go
+++ b/core/grant/pool.go
@@ -57,7 +57,7 @@
 
 type (
 	// pool is the token bucket of a team and its tokens at nodes; stock+held is at most
-	// capacity. It fills at the rate of the cap and, while a team has been busy for a whole
+	// room. It fills at the rate of the cap and, while a team has been busy for a whole
 	// window and has not used the burst, at a higher one: a window also has room for the burst
 	// if the team spreads it. What was used in a window and is held is at most what the cap
 	// allows in it.
@@ -66,7 +66,7 @@
 		limits   Limits
 		capacity float64
 		// rate is the rate at which tokens accrue, in tokens/s, and share the part of the
-		// cap that nodes can get from this coordinator.
+		// cap that nodes can get from this coordinator: of the rate and of the burst.
 		rate, share float64
 		// used counts the requests that nodes reported within the window.
 		used window
@@ -120,9 +120,16 @@
 	p.bound()
 }
 
-// bound limits the stock to what capacity leaves.
+// bound limits the stock to what room leaves.
 func (p *pool) bound() {
-	p.stock = max(min(p.stock, p.capacity-p.held), -p.rate)
+	p.stock = max(min(p.stock, p.room()-p.held), -p.rate)
+}
+
+// room returns the largest sum of the free tokens and those at nodes: the part of the
+// capacity that is this coordinator's, but at least one token. In a divided fleet another
+// coordinator has the rest.
+func (p *pool) room() float64 {
+	return max(p.capacity*p.share, 1)
 }
 
 // available returns the number of tokens that may be handed out: the stock, but no more than
@@ -133,8 +140,8 @@
 
 // windowLimit returns the largest sum of the requests in a window and the held tokens.
 func (p *pool) windowLimit() float64 {
-	rate := p.limits.Rate * p.share * float64(p.config.WindowMillis/clock.Second)
-	return rate + p.limits.Burst + windowShare*p.config.tolerance(p.limits)
+	rate := p.limits.Rate * float64(p.config.WindowMillis/clock.Second)
+	return p.share * (rate + p.limits.Burst + windowShare*p.config.tolerance(p.limits))
 }
 
 // spreadBurst returns the rate, beside that of the cap, at which the part of the window that
@@ -150,7 +157,7 @@
 		return 0
 	}
 	left := p.windowLimit() - used - p.held - max(p.stock, 0)
-	return min(max(spreadGain*left, 0), p.limits.Burst) / seconds
+	return min(max(spreadGain*left, 0), p.limits.Burst*p.share) / seconds
 }
 
 // warmth returns the time for which the whole rate has been handed out by now, if it
@@ -310,7 +317,7 @@
 // advance returns the number of tokens that a node gets for requests that have not arrived
 // yet, if the stock covers the demand of all nodes.
 func (p *pool) advance(a *Ask, demand, free float64) float64 {
-	limit := advanceShare * p.capacity
+	limit := advanceShare * p.room()
 	horizon := min(advanceFill*limit/demand, float64(advanceMillis/clock.Second))
 	// A node that expects less than one request in that time asks for each.
 	want := math.Floor(a.Demand*horizon + advanceRounding)
--- a/core/member/seed.go
+++ b/core/member/seed.go
@@ -34,6 +34,10 @@
 		position[s.Node] = len(t.config.Seeds)
 		t.config.Seeds = append(t.config.Seeds, s)
 	}
+	if t.joinedAt == 0 {
+		t.joinedAt = now
+	}
+	t.unheardStale = true
 	t.nextSeed = min(t.nextSeed, now)
 	t.joinUntil = now + joinMillis
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -56,6 +56,17 @@
 		lastTick  clock.Millis
 		nextRetry clock.Millis
 		nextSeed  clock.Millis
+		// joinedAt is the time of the first AddSeeds; 0 before it.
+		joinedAt clock.Millis
+		// unheardSeeds is the number of seeds of which the node has not heard. It is
+		// counted again if unheardStale is set.
+		unheardSeeds int
+		unheardStale bool
+		// reportedDead holds the nodes that have no record here and that peers have
+		// reported as Dead, with the time of the first report.
+		reportedDead map[ident.NodeID]clock.Millis
+		// startedAs is the incarnation with which the node has started.
+		startedAs ident.Incarnation
 		// joinUntil is the end of the period in which several seeds are contacted at
 		// once.
 		joinUntil  clock.Millis
@@ -106,8 +117,11 @@
 		queue:   make(map[ident.NodeID]*queuedUpdate),
 		probes:  make(map[ident.NodeID]*probe),
 		relays:  make(map[uint64]relay),
+
+		reportedDead: make(map[ident.NodeID]clock.Millis),
 	}
 	t.self.State = Alive
+	t.startedAs = self.Incarnation
 	// A random start, so that a late answer to an earlier incarnation does not match
 	// a probe of this one.
 	t.lastProbe = uint64(random.Uint32())
@@ -279,6 +293,7 @@
 	t.members[n] = m
 	at, _ := slices.BinarySearchFunc(t.ordered, n, compareMember)
 	t.ordered = slices.Insert(t.ordered, at, m)
+	t.noteHeard(n)
 	return m
 }
 
@@ -292,6 +307,7 @@
 	t.ordered = slices.Delete(t.ordered, at, at+1)
 	delete(t.members, n)
 	delete(t.queue, n)
+	t.unheardStale = true
 }
 
 // compareMember compares the node id of a member with n.
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -109,6 +109,8 @@
 		// An unknown node that is Dead or Left is not added.
 		if r.live() {
 			t.join(now, r, u.Observer)
+		} else {
+			t.noteUnknown(now, r)
 		}
 		return
 	}
--- a/io/node/caps.go
+++ b/io/node/caps.go
@@ -213,9 +213,10 @@
 	return address, ok
 }
 
-// setMembers passes on a change of the members. self is the record of this node.
-func (c *caps) setMembers(self member.Record, records []member.Record) {
-	live, known := make([]grant.Member, 0, len(records)), 0
+// setMembers passes on a change of the members. self is the record of this node, and unheard
+// the number of nodes without a record that may be live.
+func (c *caps) setMembers(self member.Record, records []member.Record, unheard int) {
+	live, known := make([]grant.Member, 0, len(records)), unheard
 	addresses := make(map[ident.NodeID]string, len(records))
 	for _, r := range records {
 		if r.State == member.Left && r.Node != self.Node {
@@ -280,11 +281,12 @@
 		return
 	}
 	f.caps.setUnreached(f.table.Unreached(now))
-	if !f.capsStale && f.table.Sequence() == f.capsSequence {
+	unheard := f.table.Unheard(now)
+	if !f.capsStale && f.table.Sequence() == f.capsSequence && unheard == f.capsUnheard {
 		return
 	}
-	f.capsStale, f.capsSequence = false, f.table.Sequence()
-	f.caps.setMembers(f.table.Self(), f.table.Records())
+	f.capsStale, f.capsSequence, f.capsUnheard = false, f.table.Sequence(), unheard
+	f.caps.setMembers(f.table.Self(), f.table.Records(), unheard)
 }
 
 // wireCaps creates the usage caps of a hosted node if the platform states their bounds.
--- a/io/node/caps_test.go
+++ b/io/node/caps_test.go
@@ -123,7 +123,6 @@
 // before they get requests of a team for the first time, and hands out the whole cap beside
 // their safe parts.
 func TestCapOfCutCoordinator(t *testing.T) {
-	is := is.New(t)
 	h := newFakePlatform(t)
 	h.usageCaps = testCaps
 	nodes := h.startFleet(t, []ident.NodeID{"a", "b", "c"})
@@ -132,9 +131,33 @@
 	team := coordinatedTeam(t, nodes[0])
 	h.change(func() { h.cut = sets.Of[ident.NodeID]("a") })
 	time.Sleep(200 * time.Millisecond)
+	expectWithinCap(t, nodes, team)
+}
+
+// TestCapOfRestartedNode guards against a node that is restarted behind a cut, takes itself
+// for the whole fleet and hands out the whole cap, as the others do.
+func TestCapOfRestartedNode(t *testing.T) {
+	h := newFakePlatform(t)
+	h.usageCaps = testCaps
+	nodes := h.startFleet(t, []ident.NodeID{"a", "b", "c"})
+	awaitCaps(t, nodes)
+	team := coordinatedTeam(t, nodes[0])
+	h.change(func() { h.cut = sets.Of[ident.NodeID]("c") })
+	stopNodes(t, nodes[2])
+	nodes[2], _ = h.start(t, "c")
+	defer stopNodes(t, nodes...)
+	time.Sleep(4 * time.Second) // the time for which a node that knows no other assumes many
+	expectWithinCap(t, nodes, team)
+}
+
+// expectWithinCap lets a team press against its cap at all nodes for a window.
+func expectWithinCap(t *testing.T, nodes []*Node, team *model.Team) {
+	t.Helper()
 	admitted := press(nodes, team)
 	t.Logf("%d requests admitted, %d are allowed", admitted, allowed(team))
-	is.True(admitted <= allowed(team))
+	if admitted > allowed(team) {
+		t.Fail()
+	}
 }
 
 // TestCapsOff guards against messages or state of usage caps on a platform that does not
@@ -184,7 +207,7 @@
 	c.log = logs.Discard{}
 	c.send = func(ident.NodeID, string, wire.Control) { *sent++ }
 	self := member.Record{Node: "a", PeerAddress: "a:1", Incarnation: 1}
-	c.setMembers(self, []member.Record{self, {Node: "b", PeerAddress: "b:1"}, {Node: "gone", State: member.Left}})
+	c.setMembers(self, []member.Record{self, {Node: "b", PeerAddress: "b:1"}, {Node: "gone", State: member.Left}}, 0)
 	return c, sent
 }
 
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -70,10 +70,12 @@
 		// viewSequence is the sequence number of the member table from which the current
 		// view was built.
 		viewSequence uint64
-		// capsStale reports whether a member has changed since caps received them, and
-		// capsSequence is the sequence number of the member table then.
+		// capsStale reports whether a member has changed since caps received them;
+		// capsSequence is the sequence number of the member table then, and capsUnheard
+		// its number of unheard nodes.
 		capsStale    bool
 		capsSequence uint64
+		capsUnheard  int
 		// viewStale reports whether the view has to be rebuilt.
 		viewStale bool
 		// neighbours are the overlay neighbours that were last passed to releases.
