core/fresh: a second new era during the start is confirmed as well

Change: one rule for all eras: without the directory, no answer counts; without other nodes all count at once; otherwise a neighbour confirms, or the deadline passes. Result: TestStartAfterRestore has the case; core/fresh passes.

--- a/core/fresh/node_test.go
+++ b/core/fresh/node_test.go
@@ -249,13 +249,15 @@
 
 	unreached := startedNode(3)
 	unreached.Answered(1000, answer)
-	unreached.Tick(5000)
+	unreached.Tick(4900)
+	unreached.Answered(4950, answer)
+	unreached.Answered(4960, Answer{Version: 4, SentAt: 4950, Era: 3, StoreMillis: 9})
 	is.True(unreached.Unconfirmed()) // it does not know yet whether there are others
 	unreached.Discovered(5000, true)
 	unreached.Tick(4999 + startConfirmMillis)
 	is.True(unreached.Unconfirmed())
 	unreached.Tick(5000 + startConfirmMillis)
-	is.Equal(unreached.ValidUntil(), 1000+testValid)
+	is.Equal(unreached.ValidUntil(), 4950+testValid)
 
 	alone := startedNode(3)
 	alone.Discovered(900, false)
--- a/core/fresh/store.go
+++ b/core/fresh/store.go
@@ -65,7 +65,7 @@
 	n.pacer.answered(now-a.SentAt, a.HoldMillis)
 	var out []Action
 	if a.Era != n.store.era {
-		n.store = store{era: a.Era, askedAt: now, deadline: n.confirmDeadline(now, n.store.era == 0)}
+		n.store = store{era: a.Era, askedAt: now, deadline: n.confirmDeadline(now)}
 		if n.store.deadline > 0 {
 			out = n.askAll(now)
 		}
@@ -89,16 +89,14 @@
 
 // confirmDeadline returns when the answers of an era that begins now count without a
 // neighbour; 0 if they count at once.
-func (n *Node) confirmDeadline(now clock.Millis, first bool) clock.Millis {
+func (n *Node) confirmDeadline(now clock.Millis) clock.Millis {
 	switch {
-	case first && !n.discovery.done:
+	case !n.discovery.done:
 		return clock.Forever
-	case first && n.discovery.others:
-		return max(n.discovery.at+startConfirmMillis, now+confirmMillis)
-	case len(n.neighbours) > 0:
-		return now + confirmMillis
+	case !n.discovery.others && len(n.neighbours) == 0:
+		return 0
 	}
-	return 0
+	return max(n.discovery.at+startConfirmMillis, now+confirmMillis)
 }
 
 // Discovered records that the list of nodes was read, and whether it has others than this
@@ -109,7 +107,7 @@
 	}
 	n.discovery = discovery{done: true, at: now, others: others}
 	if n.store.deadline == clock.Forever {
-		n.store.deadline = n.confirmDeadline(now, true)
+		n.store.deadline = n.confirmDeadline(now)
 		if n.store.deadline == 0 {
 			n.confirm()
 		}
--- a/core/grant/members.go
+++ b/core/grant/members.go
@@ -145,10 +145,11 @@
 	return 2*len(m.live) <= m.known
 }
 
-// share returns the part of the rate that a coordinator hands out if silent members have
+// share returns the part of a cap that a coordinator hands out if silent members have
 // ceased to ask it although they are known to be live. Members without contact count as
-// silent whether they have asked or not: they may use their safe parts. In a divided fleet, the shares of all
-// coordinators and the safe parts of all nodes add up to at most 1 + missingTolerance.
+// silent whether they have asked or not: they may use their safe parts. In a divided
+// fleet, the shares of all coordinators and the safe parts of all nodes add up to at most
+// 1 + missingTolerance.
 func (m *members) share(now clock.Millis, silent int) float64 {
 	n := m.nodes(now)
 	reached := min(len(m.live), n) - max(silent, m.unreached)
