io/httpd: no wait for a caller that has closed its side

Change: readRequests reports that the caller has disconnected; the connection is then closed at once, as before. serve is shorter by the loop.

--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// serve reads requests and starts their handlers until the connection ends.
+// serve handles the connection until it ends.
 func (c *connection) serve() {
 	defer c.server.remove(c)
 	ctx, cancel := context.WithCancel(c.server.ctx)
@@ -99,18 +99,33 @@
 		defer close(answered)
 		c.writeResponses(cancel)
 	})
+	disconnected := c.readRequests(ctx, &wg)
+	if disconnected {
+		cancel()
+	}
+	close(c.pending)
+	c.watch(answered)
+	wg.Wait()
+	cancel()
+	if disconnected {
+		_ = c.conn.Close() // no further bytes can arrive and reset it
+		return
+	}
+	sock.CloseGracefully(c.conn, c.server.Bounds().BodyMillis.Duration())
+}
+
+// readRequests reads requests and starts their handlers in wg. It returns when the
+// connection accepts no more requests, and reports whether the caller has disconnected.
+func (c *connection) readRequests(ctx context.Context, wg *conc.WaitGroup) bool {
 	for {
 		ex, err := c.readRequest()
 		if ex == nil {
-			if !errors.Is(err, errClosing) {
-				cancel() // the caller has disconnected
-			}
-			break
+			return !errors.Is(err, errClosing)
 		}
 		c.enqueue(ex)
 		if ex.closeAfter {
 			close(ex.done) // the response to a malformed request is already complete
-			break
+			return false
 		}
 		// The caller may have closed the connection long before the request was read.
 		c.cancelIfLeft()
@@ -120,11 +135,6 @@
 			close(ex.done)
 		})
 	}
-	close(c.pending)
-	c.watch(answered)
-	wg.Wait()
-	cancel()
-	sock.CloseGracefully(c.conn, c.server.Bounds().BodyMillis.Duration())
 }
 
 // enqueue passes a request to writeResponses. While it waits for room in the pipeline,
