io/node: log lines about lost contact, for usage caps

Cause: the part of a cap that a coordinator reserves for nodes without contact showed only in a metric. Result: TestCapOfCutCoordinator sees the line and passes.

--- a/io/node/caps.go
+++ b/io/node/caps.go
@@ -35,6 +35,8 @@
 	reasonCoordinatorChanged = "usage cap of the team has another coordinator"
 	reasonCoordinatorSilent  = "coordinator of usage caps does not answer; the safe part decides"
 	reasonCoordinatorAnswers = "coordinator of usage caps answers again"
+	reasonContactLost        = "no contact with some nodes: their safe parts of usage caps are reserved"
+	reasonContactFound       = "contact with all live nodes again: usage caps are handed out in full"
 )
 
 type (
@@ -173,20 +175,13 @@
 		}
 	}
 	for _, e := range c.agent.Events() {
-		c.record(e)
+		c.recordEvent(e)
 	}
 	c.metrics.granted.Store(c.agent.Granted())
 }
 
-// record logs an event. The caller holds mu.
-func (c *caps) record(e grant.Event) {
-	now := c.clock.Now()
-	if second := int64(now / clock.Second); second != c.logSecond {
-		c.logSecond, c.logLines = second, 0
-	}
-	if c.logLines++; c.logLines > capsLogLines {
-		return
-	}
+// recordEvent logs an event. The caller holds mu.
+func (c *caps) recordEvent(e grant.Event) {
 	reason := reasonCoordinatorChanged
 	switch e.Kind {
 	case grant.CoordinatorSilent:
@@ -194,7 +189,19 @@
 	case grant.CoordinatorAnswers:
 		reason = reasonCoordinatorAnswers
 	}
-	c.log.Record(logs.Decision{At: now, Kind: logs.Cap, Node: e.Node, Team: e.Team, Reason: reason})
+	c.record(logs.Decision{Node: e.Node, Team: e.Team, Reason: reason})
+}
+
+// record logs a decision about usage caps, within the limit on lines per second. The caller
+// holds mu.
+func (c *caps) record(d logs.Decision) {
+	d.At, d.Kind = c.clock.Now(), logs.Cap
+	if second := int64(d.At / clock.Second); second != c.logSecond {
+		c.logSecond, c.logLines = second, 0
+	}
+	if c.logLines++; c.logLines <= capsLogLines {
+		c.log.Record(d)
+	}
 }
 
 // receive handles a message of another node.
@@ -245,7 +252,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.agent.SetUnreached(n)
-	c.metrics.unreached.Store(uint64(n))
+	earlier := c.metrics.unreached.Swap(uint64(n))
+	switch {
+	case earlier == 0 && n > 0:
+		c.record(logs.Decision{Reason: reasonContactLost})
+	case earlier > 0 && n == 0:
+		c.record(logs.Decision{Reason: reasonContactFound})
+	}
 }
 
 // setRelease passes on the caps of a release.
--- a/io/node/caps_test.go
+++ b/io/node/caps_test.go
@@ -123,8 +123,9 @@
 // before they get requests of a team for the first time, and hands out the whole cap beside
 // their safe parts.
 func TestCapOfCutCoordinator(t *testing.T) {
-	h := newFakePlatform(t)
-	h.usageCaps = testCaps
+	is := is.New(t)
+	h, log := newFakePlatform(t), &safeBuffer{}
+	h.usageCaps, h.log = testCaps, log
 	nodes := h.startFleet(t, []ident.NodeID{"a", "b", "c"})
 	defer stopNodes(t, nodes...)
 	awaitCaps(t, nodes)
@@ -132,6 +133,7 @@
 	h.change(func() { h.cut = sets.Of[ident.NodeID]("a") })
 	time.Sleep(200 * time.Millisecond)
 	expectWithinCap(t, nodes, team)
+	is.True(len(log.fieldsOf(reasonContactLost)) >= 1)
 }
 
 // TestCapOfRestartedNode guards against a node that is restarted behind a cut, takes itself
