core/fresh: a started node asks nodes of the directory at once

Change: the node asks up to 8 nodes of the directory as soon as it has read it. Three answers without a proof confirm the store, in place of those of all neighbours: a node with a proof answers at once.

--- a/core/fresh/store.go
+++ b/core/fresh/store.go
@@ -38,8 +38,9 @@
 		// done is set once the list of nodes was read, at time at.
 		done bool
 		at   clock.Millis
-		// others is set if the list has other nodes.
-		others bool
+		// contacts holds some of the other nodes in the list, at random. They are asked
+		// while the node has no neighbours.
+		contacts []Neighbour
 	}
 )
 
@@ -50,6 +51,11 @@
 	// startConfirmMillis is that time for a node that has just started, from when it has
 	// read the list of nodes. It leaves the node time to join the overlay.
 	startConfirmMillis = 1500 * clock.Millis(1)
+	// contactCount is the number of contacts, and unprovenQuorum that of answers without a
+	// proof by which a neighbour with one would have answered too: it does so at once,
+	// while nodes that have no proof have just started.
+	contactCount   = 8
+	unprovenQuorum = 3
 )
 
 // Answered takes in an answer of the store. Its proof is from the time at which the call
@@ -93,25 +99,37 @@
 	switch {
 	case !n.discovery.done:
 		return clock.Forever
-	case !n.discovery.others && len(n.neighbours) == 0:
+	case len(n.contacts()) == 0:
 		return 0
 	}
 	return max(n.discovery.at+startConfirmMillis, now+confirmMillis)
 }
 
-// Discovered records that the list of nodes was read, and whether it has others than this
-// one. Without others nobody can confirm the answers of the store.
-func (n *Node) Discovered(now clock.Millis, others bool) {
+// Discovered records that the list of nodes was read, and which others it has. Without
+// others nobody can confirm the answers of the store.
+func (n *Node) Discovered(now clock.Millis, others []Neighbour) []Action {
 	if n.discovery.done {
-		return
+		return nil
 	}
-	n.discovery = discovery{done: true, at: now, others: others}
-	if n.store.deadline == clock.Forever {
-		n.store.deadline = n.confirmDeadline(now)
-		if n.store.deadline == 0 {
-			n.confirm()
-		}
+	contacts := slices.Clone(others)
+	n.pacer.random.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	n.discovery = discovery{done: true, at: now, contacts: contacts[:min(len(contacts), contactCount)]}
+	if n.store.deadline != clock.Forever {
+		return nil
+	}
+	n.store.deadline = n.confirmDeadline(now)
+	if n.store.deadline == 0 {
+		n.confirm()
+	}
+	return n.askAll(now)
+}
+
+// contacts returns the nodes that can confirm the answers of the store.
+func (n *Node) contacts() []Neighbour {
+	if len(n.neighbours) > 0 {
+		return n.neighbours
 	}
+	return n.discovery.contacts
 }
 
 // Unconfirmed reports whether answers of the store wait for a neighbour.
@@ -119,16 +137,21 @@
 	return n.store.deadline > 0
 }
 
-// heard takes in that a neighbour has answered a question. The answers of the store count
-// once a neighbour with a proof has answered. If all have answered and none has a proof,
+// heard takes in that another node has answered a question. The answers of the store count
+// once a node with a proof has answered. If several have answered and none has a proof,
 // nobody knows more than the store.
 func (n *Node) heard(now clock.Millis, p *peer, m Message) {
 	if !n.Unconfirmed() || m.EchoClock != n.id || m.EchoSentAt < n.store.askedAt {
 		return
 	}
 	p.toldAt = now
-	silent := func(b Neighbour) bool { return n.peers[b.Node].toldAt < n.store.askedAt }
-	if m.Version > 0 || !slices.ContainsFunc(n.neighbours, silent) {
+	told := 0
+	for _, other := range n.peers {
+		if other.toldAt >= n.store.askedAt {
+			told++
+		}
+	}
+	if m.Version > 0 || told >= min(unprovenQuorum, len(n.contacts())) {
 		n.confirm()
 	}
 }
@@ -141,11 +164,16 @@
 	n.store.pending, n.store.deadline = proof{}, 0
 }
 
-// askAll asks all neighbours for their proofs.
+// askAll asks all neighbours, or contacts, for their proofs.
 func (n *Node) askAll(now clock.Millis) []Action {
 	var out []Action
-	for _, b := range n.neighbours {
-		out = append(out, n.message(now, b.Node, n.peers[b.Node], true))
+	for _, b := range n.contacts() {
+		p := n.peers[b.Node]
+		if p == nil {
+			p = n.addPeer(b.Node)
+		}
+		p.address = b.Address
+		out = append(out, n.message(now, b.Node, p, true))
 	}
 	return out
 }
--- a/io/node/freshness.go
+++ b/io/node/freshness.go
@@ -13,6 +13,7 @@
 	"hickoryrail/core/feed"
 	"hickoryrail/core/fresh"
 	"hickoryrail/core/ident"
+	"hickoryrail/core/member"
 	"hickoryrail/core/spread"
 	"hickoryrail/io/logs"
 	"hickoryrail/io/proxy"
@@ -159,11 +160,17 @@
 	})
 }
 
-// discovered records that the directory was read, and whether it lists other nodes.
-func (f *freshness) discovered(others bool) {
+// discovered records that the directory was read, and which nodes it lists. self is this
+// one.
+func (f *freshness) discovered(self ident.NodeID, listed []member.Seed) {
 	f.update(func(now clock.Millis) []fresh.Action {
-		f.node.Discovered(now, others)
-		return nil
+		var others []fresh.Neighbour
+		for _, s := range listed {
+			if s.Node != self {
+				others = append(others, fresh.Neighbour(s))
+			}
+		}
+		return f.node.Discovered(now, others)
 	})
 }
 
--- a/io/node/join.go
+++ b/io/node/join.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 
 	"hickoryrail/core/clock"
 	"hickoryrail/core/ident"
@@ -101,8 +100,7 @@
 		return
 	}
 	w.fleet.addSeeds(seeds)
-	self := w.self().Node
-	w.freshness.discovered(slices.ContainsFunc(seeds, func(s member.Seed) bool { return s.Node != self }))
+	w.freshness.discovered(w.self().Node, seeds)
 }
 
 // readDirectory reads the directory and reports success.
