core/grant: nodes that only ceased to ask do not reduce the burst

The rate also falls with holders that are silent, and a trace shows 20 to 41 of 61 nodes silent without a fault, since they had no requests for a moment. The stock fell below 0. Change: the burst follows members without contact alone.

--- a/core/grant/members_test.go
+++ b/core/grant/members_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestSilentHoldersLeaveTheBurst guards against requests within a cap that are refused because
+// many nodes have had no requests of the team for a moment: they count as silent, which must
+// not take away the stock.
+func TestSilentHoldersLeaveTheBurst(t *testing.T) {
+	is := is.New(t)
+	m := membersOf(61, 61)
+	limits := Limits{Rate: 100, Burst: 100}
+	p := &pool{config: testConfig, limits: limits, capacity: testConfig.capacity(limits), holders: make(map[ident.NodeID]*holder)}
+	p.stock, p.at, p.silentAt, p.silent = p.capacity, clock.Minute, clock.Minute, 40
+	p.accrue(clock.Minute, m)
+	is.True(p.share < 0.5)
+	is.Equal(p.stock, p.capacity)
+	m.unreached = 40
+	p.accrue(clock.Minute, m)
+	is.True(p.stock < p.capacity/2)
+}
+
 // TestSince guards against a new coordinator that starts with a full stock, and against an
 // old one that starts without one.
 func TestSince(t *testing.T) {
--- a/core/grant/pool.go
+++ b/core/grant/pool.go
@@ -65,9 +65,12 @@
 		config   Config
 		limits   Limits
 		capacity float64
-		// rate is the rate at which tokens accrue, in tokens/s, and share the part of the
-		// cap that nodes can get from this coordinator: of the rate and of the burst.
+		// rate is the rate at which tokens accrue, in tokens/s, and share the part of it that
+		// nodes can get from this coordinator.
 		rate, share float64
+		// burstShare is that part of the burst and of the tolerance. Silent holders do not
+		// reduce it: they may only have no requests, and the burst is for their return.
+		burstShare float64
 		// used counts the requests that nodes reported within the window.
 		used window
 		// stock is the number of free tokens. It is negative after requests that the safe
@@ -129,7 +132,7 @@
 // capacity that is this coordinator's, but at least one token. In a divided fleet another
 // coordinator has the rest.
 func (p *pool) room() float64 {
-	return max(p.capacity*p.share, 1)
+	return max(p.capacity*p.burstShare, 1)
 }
 
 // available returns the number of tokens that may be handed out: the stock, but no more than
@@ -140,8 +143,8 @@
 
 // windowLimit returns the largest sum of the requests in a window and the held tokens.
 func (p *pool) windowLimit() float64 {
-	rate := p.limits.Rate * float64(p.config.WindowMillis/clock.Second)
-	return p.share * (rate + p.limits.Burst + windowShare*p.config.tolerance(p.limits))
+	rate := p.limits.Rate * p.share * float64(p.config.WindowMillis/clock.Second)
+	return rate + p.burstShare*(p.limits.Burst+windowShare*p.config.tolerance(p.limits))
 }
 
 // spreadBurst returns the rate, beside that of the cap, at which the part of the window that
@@ -157,7 +160,7 @@
 		return 0
 	}
 	left := p.windowLimit() - used - p.held - max(p.stock, 0)
-	return min(max(spreadGain*left, 0), p.limits.Burst*p.share) / seconds
+	return min(max(spreadGain*left, 0), p.limits.Burst*p.burstShare) / seconds
 }
 
 // warmth returns the time for which the whole rate has been handed out by now, if it
@@ -173,7 +176,7 @@
 // accrue adds the tokens of the time since the last call.
 func (p *pool) accrue(now clock.Millis, m *members) {
 	p.lapse(now)
-	p.share = m.share(now, p.silent)
+	p.share, p.burstShare = m.share(now, p.silent), m.share(now, 0)
 	p.rate = p.limits.Rate + p.spreadBurst(now)
 	if now > p.at {
 		rate := p.rate * p.share
