--- a/io/node/caps_test.go
+++ b/io/node/caps_test.go
@@ -155,11 +155,10 @@
 // expectWithinCap lets a team press against its cap at all nodes for a window.
 func expectWithinCap(t *testing.T, nodes []*Node, team *model.Team) {
 	t.Helper()
+	is := is.New(t)
 	admitted := press(nodes, team)
 	t.Logf("%d requests admitted, %d are allowed", admitted, allowed(team))
-	if admitted > allowed(team) {
-		t.Fail()
-	}
+	is.True(admitted <= allowed(team))
 }
 
 // TestCapsOff guards against messages or state of usage caps on a platform that does not
