--- a/io/frame/serve.go
+++ b/io/frame/serve.go
@@ -133,11 +133,6 @@
 	_ = conn.Close() // it has ended, or its peer does not follow the protocol
 }
 
-// endReading makes serve close the connection.
-func (s *acceptedConnection) endReading() {
-	_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads have ended
-}
-
 // receive reads and handles one frame. A call for which there is no memory in time is
 // refused: its payload is read and not kept.
 func (s *acceptedConnection) receive(b *bufio.Reader) error {
--- a/io/frame/transport.go
+++ b/io/frame/transport.go
@@ -15,6 +15,7 @@
 	"hickoryrail/core/stop"
 	"hickoryrail/io/mem"
 	"hickoryrail/io/peer"
+	"hickoryrail/io/sock"
 	"hickoryrail/io/uplink"
 )
 
@@ -164,7 +165,7 @@
 		c.fail(errClosed)
 	}
 	for _, s := range accepted {
-		s.endReading()
+		sock.InterruptRead(s.conn) // serve then closes the connection
 	}
 	t.group.Wait()
 	if errors.Is(err, net.ErrClosed) {
--- a/io/httpd/connection.go
+++ b/io/httpd/connection.go
@@ -277,12 +277,6 @@
 	return true
 }
 
-// endReading ends the wait of awaitRequest on a connection that is closing. The reading
-// goroutine then closes the connection.
-func (c *connection) endReading() {
-	_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads have ended
-}
-
 // accept counts a request that was read completely. It returns false if the connection
 // accepts no more requests.
 func (c *connection) accept() bool {
@@ -305,7 +299,7 @@
 		return
 	}
 	c.closing = true
-	c.endReading()
+	sock.InterruptRead(c.conn) // serve then closes the connection
 }
 
 // setReadDeadline sets the deadline of the next reads to d from now; 0 means none.
--- a/io/httpd/response.go
+++ b/io/httpd/response.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"time"
+
+	"hickoryrail/io/sock"
 )
 
 // writeResponses writes the responses in order. After the one that closes the
@@ -38,7 +40,7 @@
 	case err != nil:
 		_ = c.conn.Close()
 	case closes:
-		c.endReading()
+		sock.InterruptRead(c.conn) // serve then closes the connection
 	}
 	return err != nil || closes
 }
--- a/io/sock/linger.go
+++ b/io/sock/linger.go
@@ -22,6 +22,11 @@
 	CloseWrite() error
 }
 
+// InterruptRead makes a blocked read of a connection, and later ones, fail with a timeout.
+func InterruptRead(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads fail already
+}
+
 // CloseGracefully closes a connection in stages (RFC 9112, section 9.6): it closes the
 // sending side, and discards what the peer still sends until the peer closes its side or
 // has acknowledged everything. Closing at once would reset the connection if the peer
